Serve a call end to end by separate processes

Cause: nothing existed yet; the users ask for the whole path first. Change: router, agent, ctl and stand-ins over HTTP on loopback; budgets are kept by a shard's keeper through the log, usage is billed once per key, and unrepeatable calls have one owner.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Development tools: demo, load program and measurements."""
--- /dev/null
+++ b/bench/fleet.py
@@ -0,0 +1,306 @@
+"""Starts and stops a small fleet of real processes on this machine."""
+
+import contextlib
+import http.client
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from collections.abc import Iterator
+from pathlib import Path
+from typing import NamedTuple, TypedDict
+
+from chicorystack.config.check import check_text
+from chicorystack.config.model import FleetConfig, Service, build_config
+from chicorystack.defaults import LOOPBACK
+
+START_TIMEOUT_S = 20.0
+STOP_TIMEOUT_S = 10.0
+POLL_S = 0.05
+FLEET_TOKEN = "development-token"
+BIN = Path(sys.executable).parent
+
+
+class FleetError(Exception):
+    """A process of the fleet did not start or answer."""
+
+
+class Reply(NamedTuple):
+    """An HTTP answer.
+
+    Attributes:
+        status: HTTP status.
+        body: Whole body.
+        headers: Headers with lower-case names.
+    """
+
+    status: int
+    body: bytes
+    headers: dict[str, str]
+
+    def json(self):
+        """Returns the decoded body."""
+        return json.loads(self.body)
+
+
+class Ports(TypedDict):
+    """Ports of the platform's stand-ins."""
+
+    log: int
+    vm_list: int
+
+
+def free_port() -> int:
+    """Returns a TCP port that nothing listens on."""
+    with socket.socket() as probe:
+        probe.bind((LOOPBACK, 0))
+        return probe.getsockname()[1]
+
+
+def send(
+    port: int,
+    method: str,
+    path: str,
+    message: object = None,
+    headers: dict[str, str] | None = None,
+    timeout_s: float = 30.0,
+) -> Reply:
+    """Sends one HTTP request and reads the whole answer."""
+    connection = http.client.HTTPConnection(LOOPBACK, port, timeout=timeout_s)
+    body = None if message is None else json.dumps(message)
+    try:
+        connection.request(method, path, body, headers or {})
+        response = connection.getresponse()
+        names = {name.lower(): value for name, value in response.getheaders()}
+        return Reply(response.status, response.read(), names)
+    finally:
+        connection.close()
+
+
+def wait_until(what: str, condition) -> None:
+    """Waits until a condition holds; raises FleetError where it never does."""
+    give_up_at = time.monotonic() + START_TIMEOUT_S
+    while time.monotonic() < give_up_at:
+        with contextlib.suppress(OSError, http.client.HTTPException):
+            if condition():
+                return
+        time.sleep(POLL_S)
+    raise FleetError(f"waited in vain: {what}")
+
+
+class Router(NamedTuple):
+    """A running router."""
+
+    name: str
+    port: int
+    control_port: int
+
+
+class Target(NamedTuple):
+    """A running target with its agent."""
+
+    name: str
+    service: str
+    port: int
+    agent_port: int
+
+
+class Fleet:
+    """Processes of one small fleet.
+
+    Attributes:
+        ports: Ports of the platform's stand-ins.
+        router_by_name: Routers.
+        target_by_name: Targets.
+        process_by_name: All processes.
+    """
+
+    def __init__(self, config_path: Path, log_directory: Path):
+        self.config_path = config_path
+        text = config_path.read_text()
+        self.config: FleetConfig = build_config(
+            check_text(text, str(config_path)), 1
+        )
+        self.ports = Ports(log=free_port(), vm_list=free_port())
+        self.router_by_name: dict[str, Router] = {}
+        self.target_by_name: dict[str, Target] = {}
+        self.process_by_name: dict[str, subprocess.Popen] = {}
+        self._log_directory = log_directory
+
+    @property
+    def environment(self) -> dict[str, str]:
+        """Settings that all programs share, as environment variables."""
+        return {
+            "CHICORY_LOG_URL": f"http://{LOOPBACK}:{self.ports['log']}",
+            "CHICORY_VM_LIST_URL": (
+                f"http://{LOOPBACK}:{self.ports['vm_list']}/vms"
+            ),
+            "CHICORY_FLEET_TOKEN": FLEET_TOKEN,
+            "CHICORY_OPERATOR": "demo",
+        }
+
+    def start_platform(self, *log_flags: str) -> None:
+        """Starts the log service and the VM list."""
+        log_port = f"--port={self.ports['log']}"
+        self.spawn("log", "chicory-standin", "log", log_port, *log_flags)
+        vm_list_port = f"--port={self.ports['vm_list']}"
+        self.spawn("vm-list", "chicory-standin", "vm_list", vm_list_port)
+        for port, path in (
+            (self.ports["log"], "/counts"),
+            (self.ports["vm_list"], "/vms"),
+        ):
+            self.wait_for_answer(port, path)
+
+    def start_router(self, name: str, site: str, data_centre: str) -> Router:
+        """Starts a router and puts it on the VM list."""
+        router = Router(name, free_port(), free_port())
+        self.router_by_name[name] = router
+        self.spawn(
+            name,
+            "chicory-router",
+            f"--name={name}",
+            f"--site={site}",
+            f"--data_centre={data_centre}",
+            f"--port={router.port}",
+            f"--control_port={router.control_port}",
+        )
+        vm = {"name": name, "role": "router", "site": site}
+        vm |= {"data_centre": data_centre, "caller_port": router.port}
+        self.list_vm(vm, router.control_port)
+        return router
+
+    def start_target(
+        self, service: Service, name: str, *standin_flags: str
+    ) -> Target:
+        """Starts a stand-in target with its agent; puts it on the list."""
+        target = Target(name, service.name, free_port(), free_port())
+        self.target_by_name[name] = target
+        kind = "engine" if service.kind == "engine" else "service"
+        self.spawn(
+            f"{name}-target",
+            "chicory-standin",
+            kind,
+            f"--port={target.port}",
+            *standin_flags,
+        )
+        self.start_agent(service, target)
+        return target
+
+    def start_agent(self, service: Service, target: Target) -> None:
+        """Starts the agent of a target."""
+        data_centre = service.target_by_name[target.name].data_centre
+        self.spawn(
+            target.name,
+            "chicory-agent",
+            f"--name={target.name}",
+            f"--site={service.site}",
+            f"--data_centre={data_centre}",
+            f"--service={service.name}",
+            f"--target_url=http://{LOOPBACK}:{target.port}",
+            f"--port={target.agent_port}",
+        )
+        vm = {"name": target.name, "role": "agent", "site": service.site}
+        vm |= {"data_centre": data_centre}
+        self.list_vm(vm, target.agent_port)
+
+    def list_vm(
+        self, vm: dict[str, object], port: int, state: str = "live"
+    ) -> None:
+        """Puts a VM on the platform's list."""
+        vm = vm | {"address": LOOPBACK, "port": port, "state": state}
+        send(
+            self.ports["vm_list"],
+            "POST",
+            "/change",
+            {"put": [vm], "remove": []},
+        )
+
+    def unlist_vm(self, name: str) -> None:
+        """Takes a VM off the platform's list."""
+        send(
+            self.ports["vm_list"],
+            "POST",
+            "/change",
+            {"put": [], "remove": [name]},
+        )
+
+    def ctl(self, *arguments: str) -> object:
+        """Runs chicory-ctl and returns its decoded answer."""
+        result = subprocess.run(
+            [str(BIN / "chicory-ctl"), "--json", *arguments],
+            env=os.environ | self.environment,
+            capture_output=True,
+            text=True,
+            timeout=START_TIMEOUT_S,
+            check=False,
+        )
+        if result.returncode != 0:
+            raise FleetError(result.stderr.strip())
+        return json.loads(result.stdout)
+
+    def control(self, port: int, path: str) -> object:
+        """Gets a path from a process of the fleet."""
+        headers = {"chicory-fleet-token": FLEET_TOKEN}
+        reply = send(port, "GET", path, headers=headers)
+        return reply.json()
+
+    def wait_until_ready(self) -> None:
+        """Waits for all routers and agents."""
+        for router in self.router_by_name.values():
+            wait_until(
+                f"{router.name} is ready",
+                lambda port=router.control_port: self.control(port, "/readyz")[
+                    "ready"
+                ],
+            )
+        for target in self.target_by_name.values():
+            wait_until(
+                f"{target.name} is ready",
+                lambda port=target.agent_port: self.control(port, "/load")[
+                    "ready"
+                ],
+            )
+
+    def wait_for_answer(self, port: int, path: str) -> None:
+        """Waits until a process answers at a path."""
+        wait_until(
+            f"port {port} answers",
+            lambda: send(port, "GET", path).status == 200,
+        )
+
+    def spawn(self, name: str, program: str, *arguments: str) -> None:
+        """Starts a process; its output goes to a file of its name."""
+        log = (self._log_directory / f"{name}.log").open("ab")
+        self.process_by_name[name] = subprocess.Popen(
+            [str(BIN / program), *arguments],
+            env=os.environ | self.environment,
+            stdout=log,
+            stderr=log,
+            stdin=subprocess.DEVNULL,
+        )
+        log.close()
+
+    def signal(self, name: str, number: signal.Signals) -> None:
+        """Sends a signal to a process."""
+        self.process_by_name[name].send_signal(number)
+
+    def stop(self) -> None:
+        """Ends all processes."""
+        for process in self.process_by_name.values():
+            process.kill()
+        for process in self.process_by_name.values():
+            process.wait(STOP_TIMEOUT_S)
+
+
+@contextlib.contextmanager
+def running_fleet(config_path: Path, log_directory: Path) -> Iterator[Fleet]:
+    """Yields a fleet and ends its processes, whatever happens."""
+    fleet = Fleet(config_path, log_directory)
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
+    try:
+        yield fleet
+    finally:
+        fleet.stop()
--- /dev/null
+++ b/chicorystack/agent/__init__.py
@@ -0,0 +1,1 @@
+"""The chicory-agent program, the last gate before a target."""
--- /dev/null
+++ b/chicorystack/agent/main.py
@@ -0,0 +1,104 @@
+"""Starts an agent: settings, followers, the gate, orderly stop."""
+
+import signal
+
+from twisted.internet import defer, reactor, task
+
+from chicorystack import defaults
+from chicorystack.agent.gate import Gate
+from chicorystack.agent.target_client import TargetClient
+from chicorystack.calls.messages import Empty, EngineLoad
+from chicorystack.calls.run_table import RunTable
+from chicorystack.config.messages import CONFIG_STREAM
+from chicorystack.config.store import ConfigStore
+from chicorystack.errors import ApiError
+from chicorystack.observe.logs import part_logger, setup_logs
+from chicorystack.platform.log_client import LogClient, LogFollower
+from chicorystack.settings.loader import run_program, settings_command
+from chicorystack.settings.types import AgentSettings
+from chicorystack.web.client import (
+    JsonClient,
+    UnreachableError,
+    make_http_agent,
+)
+from chicorystack.web.server import (
+    JsonEndpoint,
+    Tree,
+    fleet_authorizer,
+    listen,
+)
+
+log = part_logger("agent")
+
+
+class AgentProcess:
+    """One agent with all its parts."""
+
+    def __init__(self, settings: AgentSettings):
+        self._settings = settings
+        self._client = JsonClient(reactor, settings.fleet_token)
+        self._store = ConfigStore()
+        log_client = LogClient(reactor, self._client, settings.log_url)
+        self._config_follower = LogFollower(
+            reactor, log_client, CONFIG_STREAM, self._store.deliver
+        )
+        target = TargetClient(make_http_agent(reactor), settings.target_url)
+        authorize = fleet_authorizer(settings.fleet_token)
+        self._gate = Gate(
+            settings.name,
+            settings.service,
+            settings.site,
+            self._store,
+            target,
+            RunTable(reactor),
+            authorize,
+        )
+        self._load_loop = task.LoopingCall(self._poll_target_load)
+        root = Tree()
+        root.put("run", self._gate)
+        root.put("load", JsonEndpoint(Empty, self._gate.load, authorize))
+        self._port = listen(reactor, root, settings.address, settings.port)
+
+    def start(self) -> None:
+        """Begins to follow the configuration and the target's load."""
+        self._config_follower.start()
+        self._load_loop.start(defaults.LOAD_REPORT_INTERVAL_S)
+        log.info("guards target {}", self._settings.name)
+
+    async def drain(self) -> None:
+        """Refuses new calls, lets those in flight finish, then stops."""
+        log.info("drains: {} calls in flight", self._gate.in_flight)
+        self._gate.draining = True
+        while self._gate.in_flight:
+            await task.deferLater(reactor, defaults.DRAIN_CHECK_S)
+        reactor.stop()
+
+    def _poll_target_load(self):
+        return defer.ensureDeferred(self._fetch_target_load())
+
+    async def _fetch_target_load(self) -> None:
+        url = f"{self._settings.target_url}/load"
+        try:
+            load = await self._client.get(url, EngineLoad)
+        except (UnreachableError, ApiError):
+            return
+        self._gate.note_target_load(load)
+
+
+def run(settings: AgentSettings) -> None:
+    """Runs an agent until it is told to stop."""
+    setup_logs(settings.name, settings.log_level)
+    process = AgentProcess(settings)
+    process.start()
+    signal.signal(
+        signal.SIGTERM,
+        lambda *_: reactor.callFromThread(
+            defer.ensureDeferred, process.drain()
+        ),
+    )
+    reactor.run()
+
+
+def main() -> None:
+    """Entry point of chicory-agent."""
+    run_program(settings_command(AgentSettings, run), "chicory-agent")
--- /dev/null
+++ b/chicorystack/budget/__init__.py
@@ -0,0 +1,1 @@
+"""Prepaid budgets: the ledger, its keeper and the routers' wallets."""
--- /dev/null
+++ b/chicorystack/calls/__init__.py
@@ -0,0 +1,1 @@
+"""Calls, their keys, outcomes and answers."""
--- /dev/null
+++ b/chicorystack/calls/messages.py
@@ -0,0 +1,148 @@
+"""What travels with a call between router, agent and target."""
+
+from typing import Literal, NotRequired, TypedDict
+
+from chicorystack.config.model import Priority
+
+CALL_HEADER = "chicory-call"
+ANSWER_HEADER = "chicory-answer"
+EVENT_STREAM = "text/event-stream"
+JSON_CONTENT = "application/json"
+
+# Blank line that ends an event of a stream.
+EVENT_END = b"\n\n"
+# Begins the last event of a complete stream.
+END_EVENT_PREFIX = b"event: end\ndata: "
+
+AnswerOutcome = Literal["done", "cancelled"]
+
+
+class CallHeader(TypedDict):
+    """Header of a call from a router to an agent.
+
+    Attributes:
+        site: Site of the service.
+        service: Service to call.
+        operation: Operation to call.
+        customer: Customer who pays.
+        key: Hash of customer and call key.
+        repeatable: Whether running the call twice does no harm.
+        shard: Shard of the budget.
+        epoch: Epoch under which the tokens are held.
+        use: Id of this run for billing.
+        reserved: Upper bound on the tokens of the call.
+        cost_tokens: Tokens charged besides prompt and generated ones.
+        max_tokens: Most tokens to generate; engines only.
+        priority: Order in which the target takes calls.
+        timeout_ms: Time left to the caller's deadline; the receiver turns it
+            into a deadline on its own clock at once.
+    """
+
+    site: str
+    service: str
+    operation: str
+    customer: str
+    key: str
+    repeatable: bool
+    shard: int
+    epoch: int
+    use: str
+    reserved: int
+    cost_tokens: int
+    max_tokens: int
+    priority: Priority
+    timeout_ms: int
+
+
+class AnswerHeader(TypedDict):
+    """Header of an answer from an agent to a router.
+
+    Attributes:
+        key: Key of the call that this answers.
+        use: Id of the run that made the answer; another run's where a kept
+            answer is given again.
+        tokens: Tokens used; absent where the end record of a stream says it.
+        in_flight: Calls running at the target as the answer begins.
+    """
+
+    key: str
+    use: str
+    tokens: NotRequired[int]
+    in_flight: int
+
+
+class EndRecord(TypedDict):
+    """Data of the last event of a complete stream.
+
+    Attributes:
+        outcome: Whether the answer is whole.
+        tokens: Tokens used.
+    """
+
+    outcome: AnswerOutcome
+    tokens: int
+
+
+class LoadReport(TypedDict):
+    """How busy a target is, as its agent knows.
+
+    Attributes:
+        target: Name of the target.
+        ready: Whether it takes new calls.
+        in_flight: Calls that the agent has given to the target.
+        running: Calls running, as the target last said.
+        queued: Calls waiting, as the target last said.
+    """
+
+    target: str
+    ready: bool
+    in_flight: int
+    running: int
+    queued: int
+
+
+class Empty(TypedDict):
+    """A message without contents."""
+
+
+class GenerateBody(TypedDict):
+    """Body of a call to a model engine.
+
+    Attributes:
+        prompt: The prompt.
+        max_tokens: Most tokens to generate.
+    """
+
+    prompt: str
+    max_tokens: NotRequired[int]
+
+
+class EngineRequest(TypedDict):
+    """What an agent sends to its engine.
+
+    Attributes:
+        prompt: The prompt.
+        max_tokens: Most tokens to generate.
+        priority: Order in which the engine takes calls.
+        resume_tokens: Generated tokens that the caller has already.
+    """
+
+    prompt: str
+    max_tokens: int
+    priority: Priority
+    resume_tokens: NotRequired[int]
+
+
+class EngineUsage(TypedDict):
+    """Data of the last event of an engine's stream."""
+
+    done: bool
+    prompt_tokens: int
+    completion_tokens: int
+
+
+class EngineLoad(TypedDict):
+    """What an engine or service reports of its load, some time late."""
+
+    running: int
+    queued: int
--- /dev/null
+++ b/chicorystack/config/__init__.py
@@ -0,0 +1,1 @@
+"""The configuration text: its model, its checks and its versions."""
--- /dev/null
+++ b/chicorystack/ctl/__init__.py
@@ -0,0 +1,1 @@
+"""The chicory-ctl program for operators."""
--- /dev/null
+++ b/chicorystack/ctl/customers.py
@@ -0,0 +1,99 @@
+"""Commands on customers: create, top up, show budgets."""
+
+import re
+import secrets
+from typing import TypedDict
+
+from chicorystack.budget.messages import (
+    BudgetsReply,
+    CustomerCreated,
+    ToppedUp,
+    shard_stream,
+)
+from chicorystack.ctl.session import CommandError, Session
+from chicorystack.util import new_id, secret_hash, shard_of
+
+NAME_PATTERN = re.compile(r"^[a-z0-9][a-z0-9-]{0,62}$")
+SALT_BYTES = 16
+SECRET_BYTES = 24
+
+
+class NewCustomer(TypedDict):
+    """A customer's secret key, shown this once."""
+
+    customer: str
+    key: str
+
+
+class TopUp(TypedDict):
+    """A top-up that stands in the log."""
+
+    customer: str
+    budget: str
+    tokens: int
+    id: str
+
+
+async def create(session: Session, customer: str) -> NewCustomer:
+    """Creates a customer, or gives an existing one a new secret key."""
+    _check_name(customer)
+    secret = secrets.token_urlsafe(SECRET_BYTES)
+    salt = secrets.token_hex(SALT_BYTES)
+    record = CustomerCreated(
+        kind="customer_created",
+        id=new_id(),
+        customer=customer,
+        key_salt=salt,
+        key_hash=secret_hash(secret, salt),
+        operator=session.settings.operator,
+    )
+    stream = await _stream_of(session, customer)
+    await session.append(stream, record)
+    return NewCustomer(customer=customer, key=f"ck.{customer}.{secret}")
+
+
+async def top_up(
+    session: Session, customer: str, tokens: int, budget: str, top_up_id: str
+) -> TopUp:
+    """Adds tokens to a budget; the same id counts once."""
+    _check_name(customer)
+    _check_name(budget)
+    if not isinstance(tokens, int) or tokens <= 0:
+        raise CommandError("tokens must be a whole number above 0")
+    record = ToppedUp(
+        kind="topped_up",
+        id=top_up_id or new_id(),
+        customer=customer,
+        budget=budget,
+        tokens=tokens,
+        operator=session.settings.operator,
+    )
+    stream = await _stream_of(session, customer)
+    await session.append(stream, record)
+    return TopUp(
+        customer=customer, budget=budget, tokens=tokens, id=record["id"]
+    )
+
+
+async def budgets(session: Session, customer: str) -> BudgetsReply:
+    """Returns a customer's budgets as their keeper sees them."""
+    shard = shard_of(customer, await _shard_count(session))
+    locator = await session.locator()
+    query = {"shard": shard, "customer": customer}
+    return await locator.get(shard, "/keeper/budgets", query, BudgetsReply)
+
+
+async def _stream_of(session: Session, customer: str) -> str:
+    return shard_stream(shard_of(customer, await _shard_count(session)))
+
+
+async def _shard_count(session: Session) -> int:
+    store = await session.read_config()
+    if store.config.version == 0:
+        raise CommandError("publish a configuration first")
+    return store.config.shard_count
+
+
+def _check_name(name: str) -> None:
+    if not NAME_PATTERN.match(str(name)):
+        raise CommandError(f"'{name}' is no name: a-z, 0-9 and '-' only")
--- /dev/null
+++ b/chicorystack/ctl/session.py
@@ -0,0 +1,124 @@
+"""What all operators' commands need: settings, clients and one reactor run."""
+
+import contextlib
+import os
+from collections.abc import Awaitable, Callable
+from typing import TypeVar
+
+from twisted.internet import reactor, task
+from twisted.internet.defer import ensureDeferred
+
+from chicorystack import defaults
+from chicorystack.budget.client import KeeperLocator, KeeperUnreachableError
+from chicorystack.config.messages import CONFIG_STREAM
+from chicorystack.config.store import ConfigStore
+from chicorystack.errors import ApiError, UserError
+from chicorystack.observe.logs import setup_logs
+from chicorystack.platform.log_client import LogClient
+from chicorystack.platform.messages import LogEntry, Vm, VmList
+from chicorystack.settings.loader import load_settings
+from chicorystack.settings.types import CtlSettings
+from chicorystack.web.client import JsonClient, UnreachableError
+
+ResultT = TypeVar("ResultT")
+
+
+class CommandError(UserError):
+    """A command could not be carried out."""
+
+
+class Session:
+    """Clients of the platform and the fleet for one command.
+
+    Attributes:
+        settings: The checked settings.
+        client: Client for the fleet's control ports.
+        log: Client of the log service.
+    """
+
+    def __init__(self, flags: dict[str, object]):
+        self.settings = load_settings(CtlSettings, flags, os.environ)
+        self.client = JsonClient(reactor, self.settings.fleet_token)
+        self.log = LogClient(reactor, self.client, self.settings.log_url)
+
+    async def read_stream(self, stream: str) -> list[LogEntry]:
+        """Returns all entries of a stream."""
+        entries: list[LogEntry] = []
+        offset = 0
+        while True:
+            page = await self.log.read(stream, offset)
+            entries.extend(page["entries"])
+            offset = page["next_offset"]
+            if offset >= page["end_offset"]:
+                return entries
+
+    async def append(self, stream: str, record: object) -> int:
+        """Appends a record and returns its offset.
+
+        Raises:
+            UnreachableError: If no answer came in time; the record carries
+                an id, so that the command may be given again.
+        """
+        give_up_at = reactor.seconds() + defaults.COMMAND_TIMEOUT_S
+        return await self.log.append_until_acknowledged(
+            stream, record, give_up_at
+        )
+
+    async def read_config(self) -> ConfigStore:
+        """Returns the configuration as the log has it."""
+        store = ConfigStore()
+        for entry in await self.read_stream(CONFIG_STREAM):
+            store.deliver(entry)
+        return store
+
+    async def vms(self) -> list[Vm]:
+        """Returns the platform's list of VMs."""
+        vm_list = await self.client.get(self.settings.vm_list_url, VmList)
+        return vm_list["vms"]
+
+    async def locator(self) -> KeeperLocator:
+        """Returns a locator of keepers among the live routers."""
+        url_by_name = {
+            vm["name"]: f"http://{vm['address']}:{vm['port']}"
+            for vm in await self.vms()
+            if vm["role"] == "router" and vm["state"] == "live"
+        }
+        return KeeperLocator(self.client, lambda: url_by_name)
+
+
+def run_command(
+    flags: dict[str, object], command: Callable[[Session], Awaitable[ResultT]]
+) -> ResultT:
+    """Runs a command to its end and returns its result.
+
+    Raises:
+        UserError: With one line on what went wrong.
+    """
+    setup_logs("ctl", "ERROR")
+    session = Session(flags)
+    results: list[ResultT] = []
+    errors: list[BaseException] = []
+
+    async def attempt() -> None:
+        try:
+            results.append(await command(session))
+        except Exception as error:
+            errors.append(error)
+
+    def main(_reactor):
+        return ensureDeferred(attempt())
+
+    with contextlib.suppress(SystemExit):
+        task.react(main, [])
+    if errors:
+        raise _user_error(errors[0]) from errors[0]
+    return results[0]
+
+
+def _user_error(error: BaseException) -> BaseException:
+    """Turns errors of the layers below into the operators' own."""
+    if isinstance(error, UnreachableError | KeeperUnreachableError):
+        return CommandError(f"not reachable: {error}")
+    if isinstance(error, ApiError):
+        return CommandError(f"refused: {error}")
+    return error
--- /dev/null
+++ b/chicorystack/errors.py
@@ -0,0 +1,98 @@
+"""Error types that reach people: operators on a terminal, callers in JSON."""
+
+from typing import Literal, NotRequired, TypedDict
+
+Outcome = Literal["rejected", "not_run", "not_completed", "unknown"]
+
+# HTTP status by stable error code; docs/API.md says what to do on each.
+STATUS_BY_CODE: dict[str, int] = {
+    "bad_request": 400,
+    "key_required": 400,
+    "key_reused": 422,
+    "unauthorized": 401,
+    "forbidden": 403,
+    "unknown_path": 404,
+    "unknown_service": 404,
+    "unknown_request": 404,
+    "method_not_allowed": 405,
+    "conflict": 409,
+    "body_too_large": 413,
+    "budget_exhausted": 402,
+    "budget_unreachable": 503,
+    "not_keeper": 421,
+    "not_ready": 503,
+    "no_target": 503,
+    "overloaded": 429,
+    "quarantined": 422,
+    "draining": 503,
+    "epoch_closed": 409,
+    "refused_for_good": 409,
+    "outcome_unknown": 504,
+    "deadline_exceeded": 504,
+    "target_failed": 502,
+    "internal": 500,
+}
+
+
+class ErrorBody(TypedDict):
+    """The JSON object below `error` in every refusal.
+
+    Attributes:
+        code: A key of STATUS_BY_CODE.
+        message: One sentence for people.
+        outcome: What is known of the call: `rejected` (this message was
+            refused before its key was looked at), `not_run` (it has not run
+            and never will under this key), `not_completed` (repeatable; send
+            it again), `unknown` (it may have run).
+        retry_after_ms: When to come back, in milliseconds.
+    """
+
+    code: str
+    message: str
+    outcome: NotRequired[Outcome]
+    retry_after_ms: NotRequired[int]
+
+
+class ErrorReply(TypedDict):
+    """The body of every refusal."""
+
+    error: ErrorBody
+
+
+class ChicoryError(Exception):
+    """Base of all errors of this package."""
+
+
+class UserError(ChicoryError):
+    """An error of the user's making, printed as one line, exit code 2."""
+
+
+class ApiError(ChicoryError):
+    """A refusal that a caller or a peer receives as typed JSON."""
+
+    def __init__(
+        self,
+        code: str,
+        message: str,
+        outcome: Outcome | None = None,
+        retry_after_ms: int | None = None,
+    ):
+        super().__init__(f"{code}: {message}")
+        self.code = code
+        self.message = message
+        self.outcome = outcome
+        self.retry_after_ms = retry_after_ms
+
+    @property
+    def status(self) -> int:
+        """The HTTP status that goes with the code."""
+        return STATUS_BY_CODE[self.code]
+
+    def reply(self) -> ErrorReply:
+        """Returns the JSON body for this refusal."""
+        body = ErrorBody(code=self.code, message=self.message)
+        if self.outcome is not None:
+            body["outcome"] = self.outcome
+        if self.retry_after_ms is not None:
+            body["retry_after_ms"] = self.retry_after_ms
+        return ErrorReply(error=body)
--- /dev/null
+++ b/chicorystack/observe/__init__.py
@@ -0,0 +1,1 @@
+"""Logs, metrics and invariants."""
--- /dev/null
+++ b/chicorystack/platform/log_client.py
@@ -0,0 +1,175 @@
+"""Client of the platform's append-only log service.
+
+An answer from the service can be lost after the append took effect, so every
+record carries an id of its own and every reader ignores a repeated record.
+"""
+
+from collections.abc import Callable
+from urllib.parse import urlencode
+
+import msgspec
+from twisted.internet import defer, task
+
+from chicorystack import defaults
+from chicorystack.errors import ApiError
+from chicorystack.observe.logs import part_logger
+from chicorystack.platform.messages import (
+    AppendReply,
+    AppendRequest,
+    LogEntry,
+    ReadPage,
+)
+from chicorystack.util import backoff_delay
+from chicorystack.web.client import JsonClient, UnreachableError
+
+log = part_logger("log-client")
+
+
+class LogClient:
+    """Appends to and reads from streams of the log service."""
+
+    def __init__(self, reactor, client: JsonClient, base_url: str):
+        self._reactor = reactor
+        self._client = client
+        self._base_url = base_url.rstrip("/")
+
+    async def append(self, stream: str, record: object) -> int:
+        """Appends a record once and returns its offset.
+
+        Raises:
+            UnreachableError: If no answer came; the append may have happened.
+        """
+        body = AppendRequest(
+            stream=stream, record=msgspec.json.encode(record).decode()
+        )
+        reply = await self._client.post(
+            f"{self._base_url}/append", body, AppendReply
+        )
+        return reply["offset"]
+
+    async def append_until_acknowledged(
+        self, stream: str, record: object, give_up_at: float | None = None
+    ) -> int:
+        """Appends a record that carries its own id until an answer comes.
+
+        Args:
+            stream: Name of the stream.
+            record: The record.
+            give_up_at: Time on the reactor's clock to give up at; None for
+                never.
+
+        Raises:
+            UnreachableError: If it gave up; the append may have happened.
+        """
+        attempt = 0
+        while True:
+            try:
+                return await self.append(stream, record)
+            except (UnreachableError, ApiError) as error:
+                log.warning("append failed; will retry: {}", error)
+                if give_up_at and self._reactor.seconds() >= give_up_at:
+                    raise UnreachableError(f"append failed: {error}") from error
+            await task.deferLater(self._reactor, backoff_delay(attempt))
+            attempt += 1
+
+    async def read(
+        self, stream: str, from_offset: int, wait_ms: int = 0
+    ) -> ReadPage:
+        """Returns records from an offset, waiting for the first if told to.
+
+        Raises:
+            UnreachableError: If no answer came.
+        """
+        query = urlencode(
+            {
+                "stream": stream,
+                "from_offset": from_offset,
+                "limit": defaults.LOG_READ_LIMIT,
+                "wait_ms": wait_ms,
+            }
+        )
+        timeout_s = defaults.CONTROL_TIMEOUT_S + wait_ms / 1000
+        return await self._client.get(
+            f"{self._base_url}/read?{query}", ReadPage, timeout_s
+        )
+
+
+class LogFollower:
+    """Delivers a stream's entries, in order, to a callback, for ever.
+
+    Attributes:
+        next_offset: Offset of the next entry to deliver.
+        caught_up: Whether the end of the stream has been reached once.
+        reachable: Whether the last read succeeded.
+    """
+
+    def __init__(
+        self,
+        reactor,
+        client: LogClient,
+        stream: str,
+        deliver: Callable[[LogEntry], None],
+    ):
+        self._reactor = reactor
+        self._client = client
+        self._stream = stream
+        self._deliver = deliver
+        self._running: defer.Deferred | None = None
+        self._waiters: list[tuple[int, defer.Deferred]] = []
+        self.next_offset = 0
+        self.caught_up = False
+        self.reachable = False
+
+    def start(self) -> None:
+        """Begins to read."""
+        self._running = defer.ensureDeferred(self._run())
+        self._running.addErrback(_ignore_cancel)
+
+    def stop(self) -> None:
+        """Stops reading."""
+        if self._running is not None:
+            self._running.cancel()
+
+    def delivered_up_to(self, offset: int) -> defer.Deferred[None]:
+        """Returns a Deferred that fires once the offset was delivered."""
+        if self.next_offset > offset:
+            return defer.succeed(None)
+        waiter: defer.Deferred[None] = defer.Deferred()
+        self._waiters.append((offset, waiter))
+        return waiter
+
+    async def _run(self) -> None:
+        failures = 0
+        while True:
+            wait_ms = defaults.LOG_READ_WAIT_MS if self.caught_up else 0
+            try:
+                page = await self._client.read(
+                    self._stream, self.next_offset, wait_ms
+                )
+            except (UnreachableError, ApiError) as error:
+                if self.reachable:
+                    log.warning("stream {}: {}", self._stream, error)
+                self.reachable = False
+                await task.deferLater(self._reactor, backoff_delay(failures))
+                failures += 1
+                continue
+            failures = 0
+            self.reachable = True
+            self._take(page)
+
+    def _take(self, page: ReadPage) -> None:
+        for entry in page["entries"]:
+            self._deliver(entry)
+        self.next_offset = page["next_offset"]
+        if self.next_offset >= page["end_offset"]:
+            self.caught_up = True
+        waiters, self._waiters = self._waiters, []
+        for offset, waiter in waiters:
+            if self.next_offset > offset:
+                waiter.callback(None)
+            elif not waiter.called:
+                self._waiters.append((offset, waiter))
+
+
+def _ignore_cancel(failure) -> None:
+    failure.trap(defer.CancelledError)
--- /dev/null
+++ b/chicorystack/router/__init__.py
@@ -0,0 +1,1 @@
+"""The chicory-router program."""
--- /dev/null
+++ b/chicorystack/router/admission.py
@@ -0,0 +1,206 @@
+"""Turns a caller's request into a checked call with reserved tokens."""
+
+from typing import NamedTuple
+
+import msgspec
+from twisted.web import server
+
+from chicorystack import defaults
+from chicorystack.budget.client import BudgetClient
+from chicorystack.budget.wallet import Reservation
+from chicorystack.calls.messages import CallHeader, GenerateBody
+from chicorystack.config.model import FleetConfig, Operation, Service
+from chicorystack.errors import ApiError
+from chicorystack.router.auth import CustomerDirectory
+from chicorystack.util import budget_id, key_hash, new_id, shard_of
+from chicorystack.web.server import header
+
+KEY_HEADER = "idempotency-key"
+BUDGET_HEADER = "chicory-budget"
+TIMEOUT_HEADER = "chicory-timeout-ms"
+
+
+class Call(NamedTuple):
+    """A call that has been checked and not yet been paid for.
+
+    Attributes:
+        service: Service to call.
+        operation: Operation to call.
+        customer: Customer who pays.
+        budget: Budget's id.
+        shard: Shard of the budget.
+        key: Hash of customer and call key.
+        key_given: Whether the caller gave the key.
+        body: The body to send on.
+        max_tokens: Most tokens to generate; 0 for plain services.
+        upper_bound: Most tokens that the call may use.
+        deadline: Time on the reactor's clock when the caller gives up.
+    """
+
+    service: Service
+    operation: Operation
+    customer: str
+    budget: str
+    shard: int
+    key: str
+    key_given: bool
+    body: bytes
+    max_tokens: int
+    upper_bound: int
+    deadline: float
+
+    def header(self, reservation: Reservation, now: float) -> CallHeader:
+        """Returns the header that an agent needs."""
+        return CallHeader(
+            site=self.service.site,
+            service=self.service.name,
+            operation=self.operation.name,
+            customer=self.customer,
+            key=self.key,
+            repeatable=self.operation.repeatable,
+            shard=self.shard,
+            epoch=reservation.epoch,
+            use=reservation.use,
+            reserved=reservation.tokens,
+            cost_tokens=self.operation.cost_tokens,
+            max_tokens=self.max_tokens,
+            priority=self.operation.priority,
+            timeout_ms=max(0, int((self.deadline - now) * 1000)),
+        )
+
+
+class Admission:
+    """Checks requests and reserves tokens for them."""
+
+    def __init__(
+        self,
+        clock,
+        site: str,
+        customers: CustomerDirectory,
+        budgets: BudgetClient,
+    ):
+        self._clock = clock
+        self._site = site
+        self._customers = customers
+        self._budgets = budgets
+
+    async def check(
+        self,
+        request: server.Request,
+        config: FleetConfig,
+        service_name: str,
+        operation_name: str,
+    ) -> Call:
+        """Returns the checked call.
+
+        Raises:
+            ApiError: With outcome `rejected`; the key was not looked at.
+        """
+        received = self._clock.seconds()
+        customer = await self._customers.authenticate(
+            header(request, "authorization"), config.shard_count
+        )
+        service, operation = self._operation(
+            config, service_name, operation_name
+        )
+        key = _call_key(request, operation)
+        request.content.seek(0)
+        body = request.content.read()
+        max_tokens, bound = _token_bounds(service, operation, body)
+        budget = header(request, BUDGET_HEADER) or defaults.DEFAULT_BUDGET
+        return Call(
+            service=service,
+            operation=operation,
+            customer=customer,
+            budget=budget_id(customer, budget),
+            shard=shard_of(customer, config.shard_count),
+            key=key_hash(customer, key or new_id()),
+            key_given=key is not None,
+            body=body,
+            max_tokens=max_tokens,
+            upper_bound=bound + operation.cost_tokens,
+            deadline=received + _timeout_ms(request) / 1000,
+        )
+
+    async def reserve(self, call: Call) -> Reservation:
+        """Sets the call's upper bound aside; raises ApiError."""
+        wait_until = self._clock.seconds() + defaults.GRANT_WAIT_S
+        return await self._budgets.reserve(
+            call.shard,
+            call.budget,
+            call.upper_bound,
+            min(call.deadline, wait_until),
+        )
+
+    def _operation(
+        self, config: FleetConfig, service_name: str, operation_name: str
+    ) -> tuple[Service, Operation]:
+        service = config.service(self._site, service_name)
+        if service is None:
+            raise ApiError(
+                "unknown_service", f"no service '{service_name}'", "rejected"
+            )
+        operation = service.operation_by_name.get(operation_name)
+        if operation is None:
+            raise ApiError(
+                "unknown_service",
+                f"service '{service_name}' has no '{operation_name}'",
+                "rejected",
+            )
+        return service, operation
+
+
+def _call_key(request: server.Request, operation: Operation) -> str | None:
+    key = header(request, KEY_HEADER)
+    if key is None and not operation.repeatable:
+        raise ApiError(
+            "key_required",
+            "this operation needs an Idempotency-Key header",
+            "rejected",
+        )
+    if key is not None and not 1 <= len(key) <= defaults.MAX_CALL_KEY_CHARS:
+        raise ApiError(
+            "bad_request",
+            f"Idempotency-Key must have 1 to {defaults.MAX_CALL_KEY_CHARS} "
+            "characters",
+            "rejected",
+        )
+    return key
+
+
+def _timeout_ms(request: server.Request) -> int:
+    text = header(request, TIMEOUT_HEADER)
+    if text is None:
+        return defaults.CALL_TIMEOUT_MS
+    if not text.isascii() or not text.isdigit() or int(text) < 1:
+        raise ApiError(
+            "bad_request",
+            "Chicory-Timeout-Ms must be a whole number above 0",
+            "rejected",
+        )
+    return min(int(text), defaults.MAX_CALL_TIMEOUT_MS)
+
+
+def _token_bounds(
+    service: Service, operation: Operation, body: bytes
+) -> tuple[int, int]:
+    """Returns most tokens to generate and most tokens with the prompt."""
+    if service.kind == "plain":
+        _decode(body, dict[str, object])
+        return 0, 0
+    fields = _decode(body, GenerateBody)
+    wanted = fields.get("max_tokens", operation.max_tokens)
+    if wanted < 1:
+        raise ApiError("bad_request", "max_tokens must be above 0", "rejected")
+    max_tokens = min(wanted, operation.max_tokens)
+    # No tokenizer makes more tokens than the text has bytes.
+    prompt_bytes = len(fields["prompt"].encode())
+    prompt_tokens = -(-prompt_bytes // defaults.PROMPT_BYTES_PER_TOKEN)
+    return max_tokens, max_tokens + prompt_tokens
+
+
+def _decode(body: bytes, kind):
+    try:
+        return msgspec.json.decode(body, type=kind)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise ApiError("bad_request", f"body: {error}", "rejected") from error
--- /dev/null
+++ b/chicorystack/router/auth.py
@@ -0,0 +1,74 @@
+"""Tells customers by their secret keys."""
+
+import hmac
+from typing import NamedTuple
+
+from chicorystack import defaults
+from chicorystack.budget.client import BudgetClient, KeeperUnreachableError
+from chicorystack.budget.messages import CustomerReply
+from chicorystack.errors import ApiError
+from chicorystack.util import secret_hash, shard_of
+
+BEARER = "Bearer "
+KEY_PREFIX = "ck"
+
+
+class _CachedCustomer(NamedTuple):
+    reply: CustomerReply
+    fresh_until: float
+
+
+class CustomerDirectory:
+    """Checks callers' secret keys against the keepers' customers."""
+
+    def __init__(self, clock, budgets: BudgetClient):
+        self._clock = clock
+        self._budgets = budgets
+        self._cached_by_name: dict[str, _CachedCustomer] = {}
+
+    async def authenticate(
+        self, authorization: str | None, shard_count: int
+    ) -> str:
+        """Returns the customer's name.
+
+        Args:
+            authorization: The header, `Bearer ck.<customer>.<secret>`.
+            shard_count: Number of shards in the configuration.
+
+        Raises:
+            ApiError: `unauthorized` or `budget_unreachable`.
+        """
+        parts = (authorization or "").removeprefix(BEARER).split(".")
+        if len(parts) != 3 or parts[0] != KEY_PREFIX:
+            raise _unauthorized()
+        _, name, secret = parts
+        customer = await self._customer(name, shard_of(name, shard_count))
+        shown = secret_hash(secret, customer["key_salt"])
+        if not hmac.compare_digest(shown, customer["key_hash"]):
+            raise _unauthorized()
+        return name
+
+    async def _customer(self, name: str, shard: int) -> CustomerReply:
+        now = self._clock.seconds()
+        cached = self._cached_by_name.get(name)
+        if cached is not None and now < cached.fresh_until:
+            return cached.reply
+        try:
+            reply = await self._budgets.customer(shard, name)
+        except KeeperUnreachableError as error:
+            if cached is not None:
+                return cached.reply
+            raise ApiError(
+                "budget_unreachable",
+                "the customer's keeper can't be reached",
+                "rejected",
+                defaults.RETRY_AFTER_MS,
+            ) from error
+        self._cached_by_name[name] = _CachedCustomer(
+            reply, now + defaults.CUSTOMER_CACHE_S
+        )
+        return reply
+
+
+def _unauthorized() -> ApiError:
+    return ApiError("unauthorized", "unknown customer or wrong key", "rejected")
--- /dev/null
+++ b/chicorystack/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of a target for each call."""
--- /dev/null
+++ b/chicorystack/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Checked settings, read from flags and environment variables."""
--- /dev/null
+++ b/chicorystack/standin/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the platform and targets, for development."""
--- /dev/null
+++ b/chicorystack/standin/engine.py
@@ -0,0 +1,165 @@
+"""Stand-in for a model engine: streams tokens, reports its load late."""
+
+from collections.abc import Iterator
+from typing import TypedDict
+
+import msgspec
+from twisted.internet import defer, task
+from twisted.web import resource, server
+
+from chicorystack.calls.messages import (
+    EVENT_STREAM,
+    Empty,
+    EngineLoad,
+    EngineRequest,
+    EngineUsage,
+)
+from chicorystack.util import stable_hash
+from chicorystack.web.server import (
+    JsonEndpoint,
+    Tree,
+    open_to_all,
+    read_body,
+    run_handler,
+)
+
+BYTES_PER_TOKEN = 4
+WORDS = ("panel", "zone", "loop", "detector", "reset", "silence", "check")
+encoder = msgspec.json.Encoder()
+
+
+class EngineCounts(TypedDict):
+    """What the engine has done.
+
+    Attributes:
+        runs: Generations that came to their end.
+        tokens: Prompt and generated tokens of those.
+        cancelled: Generations that were broken off.
+    """
+
+    runs: int
+    tokens: int
+    cancelled: int
+
+
+class EngineFaults(TypedDict):
+    """Faults that tests order.
+
+    Attributes:
+        slowdown: Factor on all delays.
+        break_after: Breaks the stream off after so many tokens; 0 never.
+    """
+
+    slowdown: float
+    break_after: int
+
+
+class Engine(resource.Resource):
+    """Serves `/generate`: a number of slots and a queue by priority."""
+
+    isLeaf = True
+
+    def __init__(self, clock, slots: int, first_token_s: float, gap_s: float):
+        super().__init__()
+        self._clock = clock
+        self._slots = defer.DeferredSemaphore(slots)
+        self._first_token_s = first_token_s
+        self._gap_s = gap_s
+        self._faults = EngineFaults(slowdown=1.0, break_after=0)
+        self._counts = EngineCounts(runs=0, tokens=0, cancelled=0)
+        self._load = EngineLoad(running=0, queued=0)
+
+    def render_POST(self, request: server.Request) -> int:
+        """Runs one generation."""
+        return run_handler(request, self._generate(request))
+
+    async def load(self, _message: Empty) -> EngineLoad:
+        """Returns the load."""
+        return self._load
+
+    async def counts(self, _message: Empty) -> EngineCounts:
+        """Returns what the engine has done."""
+        return self._counts
+
+    async def order_faults(self, faults: EngineFaults) -> Empty:
+        """Sets the faults from now on."""
+        self._faults = faults
+        return Empty()
+
+    async def _generate(self, request: server.Request) -> None:
+        message = read_body(request, EngineRequest)
+        self._load["queued"] += 1
+        try:
+            await self._slots.acquire()
+        finally:
+            self._load["queued"] -= 1
+        self._load["running"] += 1
+        try:
+            await self._stream(request, message)
+        except defer.CancelledError:
+            self._counts["cancelled"] += 1
+            raise
+        finally:
+            self._load["running"] -= 1
+            self._slots.release()
+
+    async def _stream(
+        self, request: server.Request, message: EngineRequest
+    ) -> None:
+        request.setHeader(b"content-type", EVENT_STREAM.encode())
+        await self._pause(self._first_token_s)
+        generated = message.get("resume_tokens", 0)
+        for index, word in enumerate(generate_words(message)):
+            if index < generated:
+                continue
+            request.write(b"data: " + encoder.encode({"text": word}) + b"\n\n")
+            if index + 1 == self._faults["break_after"]:
+                request.transport.abortConnection()
+                return
+            await self._pause(self._gap_s)
+        usage = EngineUsage(
+            done=True,
+            prompt_tokens=count_prompt_tokens(message["prompt"]),
+            completion_tokens=answer_length(message),
+        )
+        request.write(b"data: " + encoder.encode(usage) + b"\n\n")
+        request.finish()
+        self._counts["runs"] += 1
+        self._counts["tokens"] += (
+            usage["prompt_tokens"] + usage["completion_tokens"]
+        )
+
+    async def _pause(self, seconds: float) -> None:
+        await task.deferLater(self._clock, seconds * self._faults["slowdown"])
+
+
+def count_prompt_tokens(prompt: str) -> int:
+    """Returns the number of tokens of a prompt."""
+    return -(-len(prompt.encode()) // BYTES_PER_TOKEN)
+
+
+def answer_length(message: EngineRequest) -> int:
+    """Returns how many tokens the answer has; the same for equal prompts."""
+    natural = 8 + stable_hash(message["prompt"]) % 56
+    return min(natural, message["max_tokens"])
+
+
+def generate_words(message: EngineRequest) -> Iterator[str]:
+    """Yields the answer's words; the same for equal prompts."""
+    seed = stable_hash(message["prompt"])
+    for index in range(answer_length(message)):
+        yield WORDS[(seed + index) % len(WORDS)] + " "
+
+
+def engine_tree(engine: Engine) -> Tree:
+    """Returns the stand-in's HTTP interface."""
+    root = Tree()
+    root.put("generate", engine)
+    endpoints = [
+        ("load", Empty, engine.load),
+        ("counts", Empty, engine.counts),
+        ("faults", EngineFaults, engine.order_faults),
+    ]
+    for path, message_type, handler in endpoints:
+        root.put(path, JsonEndpoint(message_type, handler, open_to_all))
+    return root
--- /dev/null
+++ b/chicorystack/standin/plain_service.py
@@ -0,0 +1,90 @@
+"""Stand-in for a plain service: bookings that must happen once, look-ups."""
+
+from collections import Counter
+from typing import TypedDict
+
+import msgspec
+from twisted.internet import task
+from twisted.web import resource, server
+
+from chicorystack.calls.messages import Empty, EngineLoad
+from chicorystack.web.server import (
+    JsonEndpoint,
+    Tree,
+    header,
+    open_to_all,
+    run_handler,
+    send_json,
+)
+
+
+class ServiceCounts(TypedDict):
+    """What the service has run.
+
+    Attributes:
+        runs_by_operation: Calls run, by operation.
+        runs_by_key: Calls run, by their key.
+    """
+
+    runs_by_operation: dict[str, int]
+    runs_by_key: dict[str, int]
+
+
+class ServiceReply(TypedDict):
+    """The answer to any operation."""
+
+    operation: str
+    reference: str
+    echo: dict[str, object]
+
+
+class PlainService(resource.Resource):
+    """Runs any operation and counts it."""
+
+    isLeaf = True
+
+    def __init__(self, clock, work_s: float):
+        super().__init__()
+        self._clock = clock
+        self._work_s = work_s
+        self._runs_by_operation: Counter[str] = Counter()
+        self._runs_by_key: Counter[str] = Counter()
+
+    def render_POST(self, request: server.Request) -> int:
+        """Runs one call."""
+        return run_handler(request, self._run(request))
+
+    async def load(self, _message: Empty) -> EngineLoad:
+        """Returns the load."""
+        return EngineLoad(running=0, queued=0)
+
+    async def counts(self, _message: Empty) -> ServiceCounts:
+        """Returns what has been run."""
+        return ServiceCounts(
+            runs_by_operation=dict(self._runs_by_operation),
+            runs_by_key=dict(self._runs_by_key),
+        )
+
+    async def _run(self, request: server.Request) -> None:
+        operation = request.postpath[0].decode()
+        self._runs_by_operation[operation] += 1
+        self._runs_by_key[header(request, "idempotency-key") or ""] += 1
+        request.content.seek(0)
+        fields = msgspec.json.decode(
+            request.content.read(), type=dict[str, object]
+        )
+        await task.deferLater(self._clock, self._work_s)
+        number = sum(self._runs_by_operation.values())
+        reply = ServiceReply(
+            operation=operation, reference=f"job-{number}", echo=fields
+        )
+        send_json(request, 200, reply)
+
+
+def plain_service_tree(service: PlainService) -> Tree:
+    """Returns the stand-in's HTTP interface."""
+    root = Tree()
+    root.put("load", JsonEndpoint(Empty, service.load, open_to_all))
+    root.put("counts", JsonEndpoint(Empty, service.counts, open_to_all))
+    root.put("call", service)
+    return root
--- /dev/null
+++ b/chicorystack/web/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP helpers on twisted.web, shared by all programs."""
--- /dev/null
+++ b/chicorystack/web/client.py
@@ -0,0 +1,137 @@
+"""An HTTP client for typed JSON messages, on twisted.web's connection pool."""
+
+from typing import TypeVar
+
+import msgspec
+from twisted.internet import defer, error
+from twisted.web import client, http_headers
+from twisted.web.iweb import IBodyProducer
+from zope.interface import implementer
+
+from chicorystack import defaults
+from chicorystack.errors import ApiError, ChicoryError, ErrorReply
+from chicorystack.web.server import FLEET_TOKEN_HEADER
+
+ReplyT = TypeVar("ReplyT")
+
+client._HTTP11ClientFactory.noisy = False
+
+
+class UnreachableError(ChicoryError):
+    """The peer could not be reached, or no whole answer came in time."""
+
+    def __init__(self, message: str, sent: bool = True):
+        super().__init__(message)
+        self.sent = sent
+
+
+@implementer(IBodyProducer)
+class BytesProducer:
+    """Sends a body that is already in memory."""
+
+    def __init__(self, body: bytes):
+        self.body = body
+        self.length = len(body)
+
+    def startProducing(self, consumer):
+        """Writes the whole body at once."""
+        consumer.write(self.body)
+        return defer.succeed(None)
+
+    def pauseProducing(self):
+        """Does nothing: the body has been written whole."""
+
+    def stopProducing(self):
+        """Does nothing: the body has been written whole."""
+
+    def resumeProducing(self):
+        """Does nothing: the body has been written whole."""
+
+
+def make_http_agent(reactor) -> client.Agent:
+    """Returns an HTTP client that keeps connections open between calls."""
+    pool = client.HTTPConnectionPool(reactor, persistent=True)
+    pool.maxPersistentPerHost = defaults.CONNECTIONS_PER_HOST
+    pool.retryAutomatically = False
+    return client.Agent(
+        reactor, connectTimeout=defaults.CONNECT_TIMEOUT_S, pool=pool
+    )
+
+
+class JsonClient:
+    """Exchanges typed JSON messages with the platform and with peers."""
+
+    def __init__(self, reactor, fleet_token: str = ""):
+        self._reactor = reactor
+        self._http = make_http_agent(reactor)
+        self._headers = http_headers.Headers(
+            {"content-type": ["application/json"]}
+        )
+        if fleet_token:
+            self._headers.addRawHeader(FLEET_TOKEN_HEADER, fleet_token)
+
+    async def post(
+        self,
+        url: str,
+        message: object,
+        reply_type: type[ReplyT],
+        timeout_s: float = defaults.CONTROL_TIMEOUT_S,
+    ) -> ReplyT:
+        """Posts a message and returns the decoded reply.
+
+        Raises:
+            UnreachableError: If no whole answer came in time.
+            ApiError: If the peer refused.
+        """
+        body = BytesProducer(msgspec.json.encode(message))
+        return await self._exchange(b"POST", url, body, reply_type, timeout_s)
+
+    async def get(
+        self,
+        url: str,
+        reply_type: type[ReplyT],
+        timeout_s: float = defaults.CONTROL_TIMEOUT_S,
+    ) -> ReplyT:
+        """Gets a URL and returns the decoded reply; raises as `post` does."""
+        return await self._exchange(b"GET", url, None, reply_type, timeout_s)
+
+    async def _exchange(self, method, url, body, reply_type, timeout_s):
+        pending = defer.ensureDeferred(self._send(method, url, body))
+        pending.addTimeout(timeout_s, self._reactor)
+        try:
+            status, payload = await pending
+        except error.ConnectError as cause:
+            raise UnreachableError(f"{url}: {cause}", sent=False) from cause
+        except Exception as cause:
+            raise UnreachableError(f"{url}: {cause!r}") from cause
+        return decode_reply(url, status, payload, reply_type)
+
+    async def _send(self, method, url, body) -> tuple[int, bytes]:
+        response = await self._http.request(
+            method, url.encode(), self._headers, body
+        )
+        payload = await client.readBody(response)
+        return response.code, payload
+
+
+def decode_reply(
+    url: str, status: int, payload: bytes, reply_type: type[ReplyT]
+) -> ReplyT:
+    """Decodes a reply, turning a typed refusal into ApiError.
+
+    Raises:
+        UnreachableError: If the reply is no message of the expected type.
+        ApiError: If the peer refused.
+    """
+    try:
+        if status == 200:
+            return msgspec.json.decode(payload, type=reply_type)
+        refusal = msgspec.json.decode(payload, type=ErrorReply)["error"]
+    except msgspec.DecodeError as cause:
+        raise UnreachableError(f"{url}: status {status}: {cause}") from cause
+    raise ApiError(
+        refusal["code"],
+        refusal["message"],
+        refusal.get("outcome"),
+        refusal.get("retry_after_ms"),
+    )
