--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -13,6 +13,7 @@
 from pathlib import Path
 from typing import NamedTuple, TypedDict
 
+from bench.fault_proxy import NO_FAULTS
 from chicorystack.config.check import check_text
 from chicorystack.config.model import FleetConfig, Service, build_config
 from chicorystack.defaults import LOOPBACK
@@ -47,10 +48,17 @@
 
 
 class Ports(TypedDict):
-    """Ports of the platform's stand-ins."""
+    """Ports of the platform's stand-ins.
+
+    Attributes:
+        log: The log service.
+        vm_list: The VM list as operators see it.
+        proxy: Control port of the fault proxy; 0 where there is none.
+    """
 
     log: int
     vm_list: int
+    proxy: int
 
 
 def free_port() -> int:
@@ -116,6 +124,10 @@
         router_by_name: Routers.
         target_by_name: Targets.
         process_by_name: All processes.
+
+    With a fault proxy, each data centre sees the platform and all VMs
+    through routes of its own, named `<data centre>><name>`, so that any pair
+    can be cut. `log` and `vm-list` are names too.
     """
 
     def __init__(self, config_path: Path, log_directory: Path):
@@ -124,11 +136,14 @@
         self.config: FleetConfig = build_config(
             check_text(text, str(config_path)), 1
         )
-        self.ports = Ports(log=free_port(), vm_list=free_port())
+        self.ports = Ports(log=free_port(), vm_list=free_port(), proxy=0)
         self.router_by_name: dict[str, Router] = {}
         self.target_by_name: dict[str, Target] = {}
         self.process_by_name: dict[str, subprocess.Popen] = {}
         self._log_directory = log_directory
+        self.data_centre_by_name: dict[str, str] = {}
+        self._vm_list_port_by_view: dict[str, int] = {}
+        self._route_port_by_name: dict[str, int] = {}
 
     @property
     def environment(self) -> dict[str, str]:
@@ -148,11 +163,56 @@
         self.spawn("log", "chicory-standin", "log", log_port, *log_flags)
         vm_list_port = f"--port={self.ports['vm_list']}"
         self.spawn("vm-list", "chicory-standin", "vm_list", vm_list_port)
-        for port, path in (
-            (self.ports["log"], "/counts"),
-            (self.ports["vm_list"], "/vms"),
-        ):
-            self.wait_for_answer(port, path)
+        self.wait_for_answer(self.ports["log"], "/counts")
+        self.wait_for_answer(self.ports["vm_list"], "/vms")
+
+    def start_proxy(self) -> None:
+        """Starts the fault proxy; call it before routers and targets."""
+        self.ports["proxy"] = free_port()
+        self.spawn_python("proxy", "bench.fault_proxy", self.ports["proxy"])
+        self.wait_for_answer(self.ports["proxy"], "/healthz")
+        for site in self.config.site_by_name.values():
+            for view in site.data_centres:
+                self._start_view(view)
+
+    def _start_view(self, view: str) -> None:
+        """Starts the VM list as one data centre sees it."""
+        port = free_port()
+        self._vm_list_port_by_view[view] = port
+        name = f"vm-list-{view}"
+        self.spawn(name, "chicory-standin", "vm_list", f"--port={port}")
+        self.wait_for_answer(port, "/vms")
+        self._route(view, "log", self.ports["log"])
+        self._route(view, "vm-list", port)
+
+    def _route(self, view: str, name: str, target_port: int) -> int:
+        """Returns the port at which a data centre sees another port."""
+        route = f"{view}>{name}"
+        if route not in self._route_port_by_name:
+            self._route_port_by_name[route] = free_port()
+        listen_port = self._route_port_by_name[route]
+        message = {"name": route, "listen_port": listen_port}
+        message["target_port"] = target_port
+        send(self.ports["proxy"], "POST", "/routes", message)
+        return listen_port
+
+    def order_faults(self, prefix: str, **faults: object) -> None:
+        """Orders faults for routes, such as `cut="both"`; none mends them."""
+        message = NO_FAULTS | {"prefix": prefix} | faults
+        send(self.ports["proxy"], "POST", "/faults", message)
+
+    def cut_data_centres(self, one: str, other: str, cut: str) -> None:
+        """Cuts (`both`) or mends (`none`) two data centres' VMs."""
+        for view, far in ((one, other), (other, one)):
+            for name in self._names_in(far):
+                self.order_faults(f"{view}>{name}", cut=cut)
+
+    def _names_in(self, data_centre: str) -> list[str]:
+        return [
+            name
+            for name, place in self.data_centre_by_name.items()
+            if place == data_centre
+        ]
 
     def start_router(self, name: str, site: str, data_centre: str) -> Router:
         """Starts a router and puts it on the VM list."""
@@ -166,6 +226,7 @@
             f"--data_centre={data_centre}",
             f"--port={router.port}",
             f"--control_port={router.control_port}",
+            data_centre=data_centre,
         )
         vm = {"name": name, "role": "router", "site": site}
         vm |= {"data_centre": data_centre, "caller_port": router.port}
@@ -201,6 +262,7 @@
             f"--service={service.name}",
             f"--target_url=http://{LOOPBACK}:{target.port}",
             f"--port={target.agent_port}",
+            data_centre=data_centre,
         )
         vm = {"name": target.name, "role": "agent", "site": service.site}
         vm |= {"data_centre": data_centre}
@@ -210,22 +272,40 @@
         self, vm: dict[str, object], port: int, state: str = "live"
     ) -> None:
         """Puts a VM on the platform's list."""
-        vm = vm | {"address": LOOPBACK, "port": port, "state": state}
-        send(
-            self.ports["vm_list"],
-            "POST",
-            "/change",
-            {"put": [vm], "remove": []},
-        )
+        name, place = str(vm["name"]), str(vm["data_centre"])
+        self.data_centre_by_name[name] = place
+        vm = vm | {"address": LOOPBACK, "state": state}
+        self._change_list(self.ports["vm_list"], [vm | {"port": port}], [])
+        for view, list_port in self._vm_list_port_by_view.items():
+            seen_port = port
+            if view != place:
+                seen_port = self._route(view, name, port)
+            self._change_list(list_port, [vm | {"port": seen_port}], [])
 
     def unlist_vm(self, name: str) -> None:
         """Takes a VM off the platform's list."""
-        send(
+        for port in (
             self.ports["vm_list"],
-            "POST",
-            "/change",
-            {"put": [], "remove": [name]},
-        )
+            *self._vm_list_port_by_view.values(),
+        ):
+            self._change_list(port, [], [name])
+
+    def _change_list(
+        self, list_port: int, put: list[dict[str, object]], remove: list[str]
+    ) -> None:
+        message = {"put": put, "remove": remove}
+        send(list_port, "POST", "/change", message)
+
+    def view_environment(self, data_centre: str) -> dict[str, str]:
+        """Settings of a process as its data centre sees the platform."""
+        if not self.ports["proxy"]:
+            return self.environment
+        log_port = self._route_port_by_name[f"{data_centre}>log"]
+        list_port = self._route_port_by_name[f"{data_centre}>vm-list"]
+        return self.environment | {
+            "CHICORY_LOG_URL": f"http://{LOOPBACK}:{log_port}",
+            "CHICORY_VM_LIST_URL": f"http://{LOOPBACK}:{list_port}/vms",
+        }
 
     def ctl(self, *arguments: str) -> object:
         """Runs chicory-ctl and returns its decoded answer."""
@@ -271,12 +351,33 @@
             lambda: send(port, "GET", path).status == 200,
         )
 
-    def spawn(self, name: str, program: str, *arguments: str) -> None:
+    def spawn(
+        self,
+        name: str,
+        program: str,
+        *arguments: str,
+        data_centre: str | None = None,
+    ) -> None:
         """Starts a process; its output goes to a file of its name."""
+        environment = self.environment
+        if data_centre is not None:
+            environment = self.view_environment(data_centre)
+        self._start(name, [str(BIN / program), *arguments], environment)
+
+    def spawn_python(self, name: str, module: str, *arguments: object) -> None:
+        """Starts a module of the development tools as a process."""
+        words = [str(argument) for argument in arguments]
+        self._start(
+            name, [sys.executable, "-m", module, *words], self.environment
+        )
+
+    def _start(
+        self, name: str, command: list[str], environment: dict[str, str]
+    ) -> None:
         log = (self._log_directory / f"{name}.log").open("ab")
         self.process_by_name[name] = subprocess.Popen(
-            [str(BIN / program), *arguments],
-            env=os.environ | self.environment,
+            command,
+            env=os.environ | environment,
             stdout=log,
             stderr=log,
             stdin=subprocess.DEVNULL,
--- a/chicorystack/budget/client.py
+++ b/chicorystack/budget/client.py
@@ -32,8 +32,12 @@
     """
 
     def __init__(
-        self, client: JsonClient, control_urls: Callable[[], dict[str, str]]
+        self,
+        reactor,
+        client: JsonClient,
+        control_urls: Callable[[], dict[str, str]],
     ):
+        self._reactor = reactor
         self._client = client
         self._control_urls = control_urls
         self._last_by_shard: dict[int, str] = {}
@@ -53,6 +57,17 @@
         )
 
     async def _ask(self, shard: int, send):
+        """Asks until a keeper answers; a shard may be changing hands."""
+        give_up_at = self._reactor.seconds() + defaults.KEEPER_SEARCH_S
+        while True:
+            try:
+                return await self._ask_each(shard, send)
+            except KeeperUnreachableError:
+                if self._reactor.seconds() >= give_up_at:
+                    raise
+            await task.deferLater(self._reactor, defaults.KEEPER_SEARCH_PAUSE_S)
+
+    async def _ask_each(self, shard: int, send):
         for url in self._candidates(shard):
             try:
                 reply = await send(url)
--- a/chicorystack/ctl/session.py
+++ b/chicorystack/ctl/session.py
@@ -83,7 +83,7 @@
             for vm in await self.vms()
             if vm["role"] == "router" and vm["state"] == "live"
         }
-        return KeeperLocator(self.client, lambda: url_by_name)
+        return KeeperLocator(reactor, self.client, lambda: url_by_name)
 
 
 def run_command(
--- a/chicorystack/router/forwarder.py
+++ b/chicorystack/router/forwarder.py
@@ -7,6 +7,7 @@
 from twisted.web import client, http, http_headers, server
 from twisted.web.client import ResponseDone
 
+from chicorystack import defaults
 from chicorystack.calls.messages import (
     ANSWER_HEADER,
     CALL_HEADER,
@@ -18,7 +19,7 @@
 )
 from chicorystack.errors import ApiError, ChicoryError, ErrorReply
 from chicorystack.observe.invariants import require
-from chicorystack.web.client import BytesProducer
+from chicorystack.web.client import BytesProducer, make_http_agent
 from chicorystack.web.server import FLEET_TOKEN_HEADER
 
 # Longer than any end record.
@@ -87,8 +88,9 @@
 class Forwarder:
     """Exchanges calls and answers with agents."""
 
-    def __init__(self, http_agent: client.Agent, fleet_token: str):
-        self._http = http_agent
+    def __init__(self, reactor, fleet_token: str):
+        self._reactor = reactor
+        self._http = make_http_agent(reactor)
         self._fleet_token = fleet_token
 
     async def forward(
@@ -120,9 +122,14 @@
             }
         )
         try:
-            return await self._http.request(
+            answering = self._http.request(
                 b"POST", f"{url}/run".encode(), headers, BytesProducer(body)
             )
+            answering.addTimeout(
+                min(defaults.ANSWER_START_TIMEOUT_S, call["timeout_ms"] / 1000),
+                self._reactor,
+            )
+            return await answering
         except defer.CancelledError:
             raise
         except Exception as error:
--- a/chicorystack/router/main.py
+++ b/chicorystack/router/main.py
@@ -23,7 +23,7 @@
 from chicorystack.routing.targets import TargetTable
 from chicorystack.settings.loader import run_program, settings_command
 from chicorystack.settings.types import RouterSettings
-from chicorystack.web.client import JsonClient, make_http_agent
+from chicorystack.web.client import JsonClient
 from chicorystack.web.server import (
     JsonEndpoint,
     Tree,
@@ -57,7 +57,7 @@
         self._vm_list = VmListPoller(
             reactor, self._client, settings.vm_list_url
         )
-        self._targets = TargetTable()
+        self._targets = TargetTable(settings.data_centre)
         self._draining = False
         log_client = LogClient(reactor, self._client, settings.log_url)
         self._config_follower = LogFollower(
@@ -68,7 +68,7 @@
             reactor, log_client, settings.name, own_url, self._live_routers
         )
         self._review_loop = task.LoopingCall(self._review_shards)
-        locator = KeeperLocator(self._client, self._live_routers)
+        locator = KeeperLocator(reactor, self._client, self._live_routers)
         self._budgets = BudgetClient(reactor, locator)
         customers = CustomerDirectory(reactor, self._budgets)
         admission = Admission(reactor, settings.site, customers, self._budgets)
@@ -78,7 +78,7 @@
             admission,
             self._budgets,
             self._targets,
-            Forwarder(make_http_agent(reactor), settings.fleet_token),
+            Forwarder(reactor, settings.fleet_token),
         )
         self._store.on_change(lambda _: self._update_targets())
         self._vm_list.on_change(self._update_targets)
--- a/chicorystack/routing/targets.py
+++ b/chicorystack/routing/targets.py
@@ -32,7 +32,8 @@
         target_by_name: Targets that are in both.
     """
 
-    def __init__(self):
+    def __init__(self, data_centre: str):
+        self._data_centre = data_centre
         self.target_by_name: dict[str, TargetState] = {}
 
     def update(
@@ -57,14 +58,20 @@
                 )
 
     def pick(self, service: Service, tried: set[str]) -> TargetState | None:
-        """Returns the target with the fewest calls from here."""
+        """Returns the target with the fewest calls from here.
+
+        Among equals it is one of this router's own data centre.
+        """
         candidates = [
             self.target_by_name[name]
             for name in service.target_by_name
             if name in self.target_by_name and name not in tried
         ]
         usable = [target for target in candidates if not target.leaving]
-        return min(usable, key=lambda target: target.sent, default=None)
+        return min(usable, key=self._cost, default=None)
+
+    def _cost(self, target: TargetState) -> tuple[int, bool]:
+        return target.sent, target.data_centre != self._data_centre
 
     def owner(self, service: Service, key: str) -> TargetState | None:
         """Returns the one target that may run an unrepeatable call."""
