Split the router's attempts and the agent's gate by duty

Cause: both files held the flow of repeatable and of single calls at once. Change: attempts.py and, at the agent, generations.py and service_calls.py.

--- /dev/null
+++ b/chicorystack/agent/answers.py
@@ -0,0 +1,42 @@
+"""Writes an agent's answers, with the header that routers check."""
+
+import msgspec
+from twisted.web import server
+
+from chicorystack.calls.messages import (
+    ANSWER_HEADER,
+    JSON_CONTENT,
+    AnswerHeader,
+    CallHeader,
+)
+from chicorystack.calls.run_table import KeptAnswer
+
+encoder = msgspec.json.Encoder()
+
+
+def set_answer_header(request: server.Request, answer: AnswerHeader) -> None:
+    """Sets the header that says which call an answer is for."""
+    request.setHeader(ANSWER_HEADER, encoder.encode(answer).decode())
+
+
+def send_answer(
+    request: server.Request,
+    call: CallHeader,
+    answer: KeptAnswer,
+    in_flight: int,
+) -> None:
+    """Sends a whole answer, unless the router has gone."""
+    if request._disconnected:
+        return
+    header = AnswerHeader(
+        key=call["key"],
+        use=answer.use,
+        tokens=answer.tokens,
+        in_flight=in_flight,
+    )
+    set_answer_header(request, header)
+    request.setResponseCode(answer.status)
+    request.setHeader(b"content-type", JSON_CONTENT.encode())
+    request.setHeader(b"content-length", str(len(answer.body)).encode())
+    request.write(answer.body)
+    request.finish()
--- a/chicorystack/agent/main.py
+++ b/chicorystack/agent/main.py
@@ -6,6 +6,8 @@
 
 from chicorystack import defaults
 from chicorystack.agent.gate import Gate
+from chicorystack.agent.generations import Generations
+from chicorystack.agent.service_calls import ServiceCalls
 from chicorystack.agent.target_client import TargetClient
 from chicorystack.calls.messages import Empty, EngineLoad
 from chicorystack.calls.run_table import RunTable
@@ -45,12 +47,10 @@
         target = TargetClient(make_http_agent(reactor), settings.target_url)
         authorize = fleet_authorizer(settings.fleet_token)
         self._gate = Gate(
-            settings.name,
-            settings.service,
-            settings.site,
+            settings,
             self._store,
-            target,
-            RunTable(reactor),
+            Generations(target),
+            ServiceCalls(target, RunTable(reactor)),
             authorize,
         )
         self._load_loop = task.LoopingCall(self._poll_target_load)
--- a/chicorystack/router/main.py
+++ b/chicorystack/router/main.py
@@ -16,6 +16,11 @@
 from chicorystack.platform.log_client import LogClient, LogFollower
 from chicorystack.platform.vm_list import VmListPoller
 from chicorystack.router.admission import Admission
+from chicorystack.router.attempts import (
+    Attempt,
+    OwnerAttempts,
+    RepeatableAttempts,
+)
 from chicorystack.router.auth import CustomerDirectory
 from chicorystack.router.dispatcher import Dispatcher
 from chicorystack.router.forwarder import Forwarder
@@ -72,13 +77,16 @@
         self._budgets = BudgetClient(reactor, locator)
         customers = CustomerDirectory(reactor, self._budgets)
         admission = Admission(reactor, settings.site, customers, self._budgets)
+        attempt = Attempt(
+            reactor, self._targets, Forwarder(reactor, settings.fleet_token)
+        )
         self._dispatcher = Dispatcher(
             reactor,
             self._store,
             admission,
             self._budgets,
-            self._targets,
-            Forwarder(reactor, settings.fleet_token),
+            RepeatableAttempts(reactor, self._targets, attempt),
+            OwnerAttempts(self._targets, attempt),
         )
         self._store.on_change(lambda _: self._update_targets())
         self._vm_list.on_change(self._update_targets)
