Keep configuration versions by the log's order, also past its retention

Cause: a process read versions off the log only, so one that was cut from the log or started while it was down had none; a version heard from a peer was used to judge publications, so a publication that lost could win at a lagging reader; and a log that forgets took the configuration with it.

Ruled out: judging by the version in force (diverges, see below); clocks of two machines for the age of a record (a reader counts its own time from the moment at which it reads a record as it comes).

Change: ConfigFold judges publications by the log's order alone, ConfigStore is the newest of the fold and of what peers said. `config_kept` records state the version again within half the retention, staggered by rank among readers; a reader with an expired beginning starts at one only if its writer had read up to that reader's first record. Three routers of each data centre read the stream; other routers, and all agents, ask routers once a second, and at once when a call carries a newer version.

--- a/chicorystack/agent/gate.py
+++ b/chicorystack/agent/gate.py
@@ -1,5 +1,7 @@
 """The last gate before a target: takes calls from routers."""
 
+from collections.abc import Callable
+
 import msgspec
 from twisted.web import resource, server
 
@@ -37,6 +39,7 @@
         generations: Generations,
         service_calls: ServiceCalls,
         authorize: Authorizer,
+        note_version: Callable[[int], None],
     ):
         super().__init__()
         self._settings = settings
@@ -44,6 +47,7 @@
         self._generations = generations
         self._service_calls = service_calls
         self._authorize = authorize
+        self._note_version = note_version
         self._reported = EngineLoad(running=0, queued=0)
         self.draining = False
 
@@ -64,6 +68,7 @@
             in_flight=self.in_flight,
             running=self._reported["running"],
             queued=self._reported["queued"],
+            config_version=self._store.config.version,
         )
 
     def note_target_load(self, load: EngineLoad) -> None:
@@ -77,6 +82,7 @@
     async def _handle(self, request: server.Request) -> None:
         self._authorize(request)
         call = _decode_call(request)
+        self._note_version(call.get("config_version", 0))
         service = self._service()
         if service is None:
             raise ApiError("not_ready", "the agent has no configuration yet")
--- a/chicorystack/agent/main.py
+++ b/chicorystack/agent/main.py
@@ -11,11 +11,11 @@
 from chicorystack.agent.target_client import TargetClient
 from chicorystack.calls.messages import Empty, EngineLoad
 from chicorystack.calls.run_table import RunTable
-from chicorystack.config.messages import CONFIG_STREAM
+from chicorystack.config.peers import PeerPoller, config_peers
 from chicorystack.config.store import ConfigStore
 from chicorystack.errors import ApiError
 from chicorystack.observe.logs import part_logger, setup_logs
-from chicorystack.platform.log_client import LogClient, LogFollower
+from chicorystack.platform.vm_list import VmListPoller
 from chicorystack.settings.loader import run_program, settings_command
 from chicorystack.settings.types import AgentSettings
 from chicorystack.web.client import (
@@ -40,9 +40,11 @@
         self._settings = settings
         self._client = JsonClient(reactor, settings.fleet_token)
         self._store = ConfigStore()
-        log_client = LogClient(reactor, self._client, settings.log_url)
-        self._config_follower = LogFollower(
-            reactor, log_client, CONFIG_STREAM, self._store.deliver
+        self._vm_list = VmListPoller(
+            reactor, self._client, settings.vm_list_url
+        )
+        self._config_peers = PeerPoller(
+            reactor, self._client, self._store, self._peer_urls, lambda: True
         )
         target = TargetClient(make_http_agent(reactor), settings.target_url)
         authorize = fleet_authorizer(settings.fleet_token)
@@ -52,6 +54,7 @@
             Generations(target),
             ServiceCalls(target, RunTable(reactor)),
             authorize,
+            self._config_peers.note_version,
         )
         self._load_loop = task.LoopingCall(self._poll_target_load)
         root = Tree()
@@ -61,7 +64,8 @@
 
     def start(self) -> None:
         """Begins to follow the configuration and the target's load."""
-        self._config_follower.start()
+        self._vm_list.start()
+        self._config_peers.start()
         self._load_loop.start(defaults.LOAD_REPORT_INTERVAL_S)
         log.info("guards target {}", self._settings.name)
 
@@ -73,6 +77,12 @@
             await task.deferLater(reactor, defaults.DRAIN_CHECK_S)
         reactor.stop()
 
+    def _peer_urls(self) -> list[str]:
+        vms = list(self._vm_list.vm_by_name.values())
+        return config_peers(
+            vms, self._settings.name, self._settings.data_centre
+        )
+
     def _poll_target_load(self):
         return defer.ensureDeferred(self._fetch_target_load())
 
--- a/chicorystack/calls/messages.py
+++ b/chicorystack/calls/messages.py
@@ -36,6 +36,7 @@
         priority: Order in which the target takes calls.
         timeout_ms: Time left to the caller's deadline; the receiver turns it
             into a deadline on its own clock at once.
+        config_version: Configuration in force at the router.
     """
 
     site: str
@@ -52,6 +53,7 @@
     max_tokens: int
     priority: Priority
     timeout_ms: int
+    config_version: NotRequired[int]
 
 
 class AnswerHeader(TypedDict):
@@ -92,6 +94,7 @@
         in_flight: Calls that the agent has given to the target.
         running: Calls running, as the target last said.
         queued: Calls waiting, as the target last said.
+        config_version: Configuration in force at the agent.
     """
 
     target: str
@@ -99,6 +102,7 @@
     in_flight: int
     running: int
     queued: int
+    config_version: int
 
 
 class Empty(TypedDict):
--- /dev/null
+++ b/chicorystack/config/source.py
@@ -0,0 +1,89 @@
+"""Where a router gets the configuration from: the log, or its peers."""
+
+from collections.abc import Callable
+
+from chicorystack.config.keeping import ConfigKeeping, KeepSchedule
+from chicorystack.config.messages import CONFIG_STREAM
+from chicorystack.config.peers import (
+    PeerPoller,
+    config_peers,
+    config_readers,
+)
+from chicorystack.config.store import ConfigStore
+from chicorystack.platform.log_client import LogClient, LogFollower
+from chicorystack.platform.messages import LogEntry, Vm
+from chicorystack.settings.types import RouterSettings
+from chicorystack.web.client import JsonClient
+
+
+class RouterConfigSource:
+    """Follows the config stream, or asks peers while that is not possible.
+
+    Attributes:
+        peers: Asks other routers.
+    """
+
+    def __init__(
+        self,
+        reactor,
+        settings: RouterSettings,
+        client: JsonClient,
+        log_client: LogClient,
+        store: ConfigStore,
+        vms: Callable[[], list[Vm]],
+    ):
+        self._settings = settings
+        self._store = store
+        self._vms = vms
+        self._reading = False
+        self._follower = LogFollower(
+            reactor, log_client, CONFIG_STREAM, self._deliver
+        )
+        self._schedule = KeepSchedule(
+            reactor, settings.log_retention_s, self._rank
+        )
+        self._keeping = ConfigKeeping(
+            reactor, log_client, store.fold, self._schedule, self._up_to_date
+        )
+        self.peers = PeerPoller(
+            reactor, client, store, self._peer_urls, lambda: not self._following
+        )
+
+    def start(self) -> None:
+        """Begins to read the log."""
+        self.review_vms()
+        self.peers.start()
+        self._keeping.start()
+
+    def review_vms(self) -> None:
+        """Starts or stops reading the log as the VM list says."""
+        vms = self._vms()
+        name = self._settings.name
+        # A router that is not on the list yet can't tell its rank.
+        listed = any(vm["name"] == name for vm in vms)
+        must_read = not listed or name in config_readers(vms)
+        if must_read and not self._reading:
+            self._follower.start()
+        elif self._reading and not must_read:
+            self._follower.stop()
+        self._reading = must_read
+
+    @property
+    def _following(self) -> bool:
+        return self._reading and self._follower.reachable
+
+    def _up_to_date(self) -> bool:
+        return self._following and self._follower.caught_up
+
+    def _rank(self) -> int:
+        readers = config_readers(self._vms())
+        name = self._settings.name
+        return readers.index(name) if name in readers else len(readers)
+
+    def _peer_urls(self) -> list[str]:
+        settings = self._settings
+        return config_peers(self._vms(), settings.name, settings.data_centre)
+
+    def _deliver(self, entry: LogEntry) -> None:
+        if self._store.deliver(entry):
+            self._schedule.note_carried(self._follower.caught_up)
--- a/chicorystack/config/store.py
+++ b/chicorystack/config/store.py
@@ -2,72 +2,92 @@
 
 from collections.abc import Callable
 
-import msgspec
-
-from chicorystack.config.messages import ConfigInForce, ConfigRecord
+from chicorystack.config.fold import ConfigFold, Publication
+from chicorystack.config.messages import ConfigInForce
 from chicorystack.config.model import FleetConfig, build_config
 from chicorystack.observe.invariants import require
 from chicorystack.observe.logs import part_logger
 from chicorystack.platform.messages import LogEntry
 
 log = part_logger("config")
-record_decoder = msgspec.json.Decoder(ConfigRecord)
 
 
 class ConfigStore:
     """The configuration in force at one process.
 
+    It is the newest of what the log says, as far as it has been read here,
+    and what peers say. Peers never touch the state that judges publications,
+    so a process that heard a version early still judges by the log's order.
+
     Attributes:
         config: The configuration in force; version 0 until one is known.
+        fold: What the log says.
     """
 
     def __init__(self):
         self.config = FleetConfig()
+        self.fold = ConfigFold()
         self._in_force = ConfigInForce(version=0, config=None, offset=-1)
-        self._id_by_version: dict[int, str] = {}
         self._listeners: list[Callable[[FleetConfig], None]] = []
 
     def on_change(self, listener: Callable[[FleetConfig], None]) -> None:
         """Calls listener with each new configuration."""
         self._listeners.append(listener)
 
-    def deliver(self, entry: LogEntry) -> None:
-        """Takes an entry of the config stream."""
-        record = record_decoder.decode(entry["record"])
-        if record["id"] in self._id_by_version.values():
-            return
-        if record["replaces"] != self.config.version:
-            log.info(
-                "publication {} replaces version {}, but {} is in force",
-                record["id"],
-                record["replaces"],
-                self.config.version,
-            )
-            return
-        self._id_by_version[record["replaces"] + 1] = record["id"]
-        self._enter(
-            ConfigInForce(
-                version=record["replaces"] + 1,
-                config=record["config"],
-                offset=entry["offset"],
-            )
-        )
+    def deliver(self, entry: LogEntry) -> bool:
+        """Takes an entry of the config stream.
+
+        Returns:
+            Whether the entry carries the version that the log has in force.
+        """
+        carries = self.fold.apply(entry)
+        if self.fold.latest is not None:
+            self._take_publication(self.fold.latest)
+        return carries
 
     def winner_of(self, version: int) -> str | None:
-        """Returns the id of the record that made a version."""
-        return self._id_by_version.get(version)
+        """Returns the id of the record that made one of the last versions."""
+        return self.fold.winner_of(version)
 
-    def in_force(self) -> ConfigInForce:
-        """Returns what a peer needs to take over this version."""
+    def in_force(self, known: int = 0) -> ConfigInForce:
+        """Returns what a peer that knows a version needs to take over."""
+        if known >= self._in_force["version"]:
+            return ConfigInForce(
+                version=self._in_force["version"],
+                config=None,
+                offset=self._in_force["offset"],
+            )
         return self._in_force
 
     def take_from_peer(self, told: ConfigInForce) -> bool:
         """Takes a peer's version where it is newer; tells whether it was."""
+        self._check_same(told["version"], told["offset"])
         if told["config"] is None or told["version"] <= self.config.version:
             return False
         self._enter(told)
         return True
 
+    def _take_publication(self, latest: Publication) -> None:
+        self._check_same(latest.version, latest.offset)
+        if latest.version <= self.config.version:
+            return
+        self._enter(
+            ConfigInForce(
+                version=latest.version,
+                config=latest.record["config"],
+                offset=latest.offset,
+            )
+        )
+
+    def _check_same(self, version: int, offset: int) -> None:
+        if version == self.config.version:
+            require(
+                "one_publication_per_version",
+                offset == self._in_force["offset"],
+                f"version {version} at {offset} and at "
+                f"{self._in_force['offset']}",
+            )
+
     def _enter(self, told: ConfigInForce) -> None:
         require(
             "config_never_reverts",
--- a/chicorystack/ctl/configuration.py
+++ b/chicorystack/ctl/configuration.py
@@ -3,8 +3,6 @@
 from pathlib import Path
 from typing import TypedDict
 
-import msgspec
-
 from chicorystack import defaults
 from chicorystack.config.check import ConfigError, check_text
 from chicorystack.config.messages import CONFIG_STREAM, ConfigRecord
@@ -44,6 +42,11 @@
     text = read_text(path)
     config = check_text(text, path)
     store = await session.read_config()
+    if not store.fold.based:
+        raise CommandError(
+            "the log has forgotten the version in force; start a router that "
+            "states it again before publishing"
+        )
     in_force = store.config.version
     if replaces is None:
         replaces = in_force
@@ -77,8 +80,6 @@
 async def show(session: Session) -> ConfigRecord:
     """Returns the record of the version in force."""
     store = await session.read_config()
-    offset = store.in_force()["offset"]
-    for entry in await session.read_stream(CONFIG_STREAM):
-        if entry["offset"] == offset:
-            return msgspec.json.decode(entry["record"], type=ConfigRecord)
-    raise CommandError("no configuration has been published")
+    if store.fold.latest is None:
+        raise CommandError("no configuration has been published")
+    return store.fold.latest.record
--- a/chicorystack/defaults.py
+++ b/chicorystack/defaults.py
@@ -33,6 +33,16 @@
 VM_LIST_POLL_S = 1.0
 SHARD_REVIEW_S = 0.5
 
+# Configuration.
+CONFIG_POLL_S = 1.0
+CONFIG_PEER_TIMEOUT_S = 1.0
+# Routers that a process asks in turn.
+CONFIG_PEERS = 4
+CONFIG_READERS_PER_DATA_CENTRE = 3
+CONFIG_KEEP_GRACE_S = 60.0
+# Versions whose publication's id is remembered.
+CONFIG_WINNERS_KEPT = 1_000
+
 # Budgets.
 DEFAULT_BUDGET = "main"
 SHARD_COUNT = 4
--- a/chicorystack/router/admission.py
+++ b/chicorystack/router/admission.py
@@ -35,6 +35,7 @@
         max_tokens: Most tokens to generate; 0 for plain services.
         upper_bound: Most tokens that the call may use.
         deadline: Time on the reactor's clock when the caller gives up.
+        config_version: Configuration that the call was checked by.
     """
 
     service: Service
@@ -48,6 +49,7 @@
     max_tokens: int
     upper_bound: int
     deadline: float
+    config_version: int
 
     def header(self, reservation: Reservation, now: float) -> CallHeader:
         """Returns the header that an agent needs."""
@@ -66,6 +68,7 @@
             max_tokens=self.max_tokens,
             priority=self.operation.priority,
             timeout_ms=max(0, int((self.deadline - now) * 1000)),
+            config_version=self.config_version,
         )
 
 
@@ -120,6 +123,7 @@
             max_tokens=max_tokens,
             upper_bound=bound + operation.cost_tokens,
             deadline=received + _timeout_ms(request) / 1000,
+            config_version=config.version,
         )
 
     async def reserve(self, call: Call) -> Reservation:
--- a/chicorystack/router/main.py
+++ b/chicorystack/router/main.py
@@ -10,10 +10,13 @@
 from chicorystack.budget.keeper_service import KeeperService
 from chicorystack.budget.messages import CustomerQuery, Exchange
 from chicorystack.calls.messages import Empty
-from chicorystack.config.messages import CONFIG_STREAM, ConfigInForce
+from chicorystack.config.messages import ConfigInForce, ConfigQuery
+from chicorystack.config.peers import live_routers
+from chicorystack.config.source import RouterConfigSource
 from chicorystack.config.store import ConfigStore
 from chicorystack.observe.logs import part_logger, setup_logs
-from chicorystack.platform.log_client import LogClient, LogFollower
+from chicorystack.platform.log_client import LogClient
+from chicorystack.platform.messages import Vm
 from chicorystack.platform.vm_list import VmListPoller
 from chicorystack.router.admission import Admission
 from chicorystack.router.attempts import (
@@ -65,8 +68,13 @@
         self._targets = TargetTable(settings.data_centre)
         self._draining = False
         log_client = LogClient(reactor, self._client, settings.log_url)
-        self._config_follower = LogFollower(
-            reactor, log_client, CONFIG_STREAM, self._store.deliver
+        self._config = RouterConfigSource(
+            reactor,
+            settings,
+            self._client,
+            log_client,
+            self._store,
+            self._vms,
         )
         own_url = f"http://{settings.address}:{settings.control_port}"
         self._keeper = KeeperService(
@@ -90,6 +98,7 @@
         )
         self._store.on_change(lambda _: self._update_targets())
         self._vm_list.on_change(self._update_targets)
+        self._vm_list.on_change(self._config.review_vms)
         self._caller_port = listen(
             reactor,
             caller_tree(
@@ -107,7 +116,7 @@
 
     def start(self) -> None:
         """Begins to follow the platform and to serve."""
-        self._config_follower.start()
+        self._config.start()
         self._vm_list.start()
         self._budgets.start()
         self._review_loop.start(defaults.SHARD_REVIEW_S)
@@ -129,7 +138,7 @@
         root.put("healthz", JsonEndpoint(Empty, self._health, open_to_all))
         root.put("readyz", JsonEndpoint(Empty, self._readiness, open_to_all))
         endpoints = [
-            ("config", Empty, self._config),
+            ("config", ConfigQuery, self._answer_config),
             ("keeper/exchange", Exchange, keeper.handle_exchange),
             ("keeper/customer", CustomerQuery, keeper.handle_customer),
             ("keeper/budgets", CustomerQuery, keeper.handle_budgets),
@@ -146,15 +155,17 @@
         ready = version > 0 and self._vm_list.loaded and not self._draining
         return Readiness(ready=ready, config_version=version)
 
-    async def _config(self, _message: Empty) -> ConfigInForce:
-        return self._store.in_force()
+    async def _answer_config(self, query: ConfigQuery) -> ConfigInForce:
+        return self._store.in_force(query.get("known", 0))
+
+    def _vms(self) -> list[Vm]:
+        return list(self._vm_list.vm_by_name.values())
 
     def _live_routers(self) -> dict[str, str]:
         """Returns control URLs of live routers by name."""
         return {
-            name: f"http://{vm['address']}:{vm['port']}"
-            for name, vm in self._vm_list.vm_by_name.items()
-            if vm["role"] == "router" and vm["state"] == "live"
+            vm["name"]: f"http://{vm['address']}:{vm['port']}"
+            for vm in live_routers(self._vms())
         }
 
     def _review_shards(self) -> None:
--- a/chicorystack/settings/types.py
+++ b/chicorystack/settings/types.py
@@ -20,6 +20,7 @@
         address: IP address to listen on and to be reached at.
         port: TCP port for callers.
         control_port: TCP port for the fleet and operators.
+        log_retention_s: How long the log service keeps records, in seconds.
         statsd: IP:port of the statsd server; empty for none.
         log_level: Least severe level that is logged.
         check: Checks the settings and exits.
@@ -35,6 +36,7 @@
     address: str = defaults.LOOPBACK
     port: int = 7100
     control_port: int = 7101
+    log_retention_s: float = defaults.LOG_RETENTION_S
     statsd: str = ""
     log_level: str = "INFO"
 
--- a/tests/config/test_store.py
+++ b/tests/config/test_store.py
@@ -17,6 +17,10 @@
     return {"offset": offset, "time": 0.0, "record": json.dumps(record)}
 
 
+def kept_entry(offset, kept):
+    return {"offset": offset, "time": 0.0, "record": json.dumps(kept)}
+
+
 def test_first_publisher_wins():
     store = ConfigStore()
     store.deliver(entry(0, "a", 0))
@@ -33,3 +37,35 @@
     assert not newer.take_from_peer(older.in_force())
     assert older.take_from_peer(newer.in_force())
     assert older.config.version == 2
+
+
+def test_version_heard_from_a_peer_does_not_judge_publications():
+    ahead, behind = ConfigStore(), ConfigStore()
+    entries = [
+        entry(0, "a", 0),
+        entry(1, "too early", 2),
+        entry(2, "b", 1),
+        entry(3, "c", 2),
+    ]
+    for each in entries:
+        ahead.deliver(each)
+    behind.deliver(entries[0])
+    behind.take_from_peer(ahead.in_force())
+    for each in entries[1:]:
+        behind.deliver(each)
+    assert behind.in_force() == ahead.in_force()
+    assert behind.winner_of(3) == "c"
+
+
+def test_record_appended_twice_counts_once():
+    store = ConfigStore()
+    for offset, record_id in enumerate(["a", "b", "a", "b"]):
+        store.deliver(entry(offset, record_id, 0))
+    assert (store.config.version, store.winner_of(1)) == (1, "a")
+
+
+def test_entry_that_is_no_record_is_passed_over():
+    store = ConfigStore()
+    assert not store.deliver({"offset": 0, "time": 0.0, "record": "{}"})
+    store.deliver(entry(1, "a", 0))
+    assert store.config.version == 1
--- /dev/null
+++ b/tests/integration/test_fleet_config.py
@@ -0,0 +1,95 @@
+"""A configuration comes into force everywhere, log or no log."""
+
+import signal
+
+import pytest
+
+from bench.fleet import running_fleet, send, wait_until
+from tests.conftest import EXAMPLES
+
+SITE = "dk-east"
+
+
+@pytest.fixture(scope="module")
+def config_fleet(tmp_path_factory):
+    """Two routers and two agents behind a proxy, version 1 in force."""
+    directory = tmp_path_factory.mktemp("config")
+    example = EXAMPLES / "brandvagt.yaml"
+    with running_fleet(example, directory) as fleet:
+        fleet.start_platform()
+        fleet.start_proxy()
+        services = fleet.config.site_by_name[SITE].service_by_name
+        for number in (1, 2):
+            fleet.start_router(f"router-{number}", SITE, f"{SITE}-{number}")
+            name = f"fault-model-{number}"
+            fleet.start_target(services["fault-model"], name)
+        fleet.ctl("publish", str(example))
+        fleet.wait_until_ready()
+        yield fleet
+
+
+def versions(fleet):
+    """Returns the version in force by process."""
+    version_by_name = {
+        router.name: fleet.control(router.control_port, "/readyz")
+        for router in fleet.router_by_name.values()
+    } | {
+        target.name: fleet.control(target.agent_port, "/load")
+        for target in fleet.target_by_name.values()
+    }
+    return {name: m["config_version"] for name, m in version_by_name.items()}
+
+
+def wait_for_version(fleet, version):
+    wait_until(
+        f"version {version} is in force everywhere",
+        lambda: set(versions(fleet).values()) == {version},
+    )
+
+
+def order_log(fleet, down):
+    faults = {"down": down, "delay_s": 0.0, "lose_answers": 0}
+    send(fleet.ports["log"], "POST", "/faults", faults)
+
+
+def test_process_started_while_the_log_is_down_takes_it_from_a_peer(
+    config_fleet,
+):
+    order_log(config_fleet, down=True)
+    try:
+        config_fleet.start_router("router-3", SITE, f"{SITE}-3")
+        service = config_fleet.config.service(SITE, "fault-model")
+        config_fleet.process_by_name["fault-model-1"].kill()
+        config_fleet.process_by_name["fault-model-1"].wait()
+        target = config_fleet.target_by_name["fault-model-1"]
+        config_fleet.start_agent(service, target)
+        config_fleet.wait_until_ready()
+        assert set(versions(config_fleet).values()) == {1}
+    finally:
+        order_log(config_fleet, down=False)
+
+
+def test_router_cut_from_the_log_takes_it_from_a_peer(config_fleet):
+    config_fleet.order_faults(f"{SITE}-2>log", cut="both")
+    try:
+        config_fleet.ctl("publish", str(config_fleet.config_path))
+        wait_for_version(config_fleet, 2)
+    finally:
+        config_fleet.order_faults(f"{SITE}-2>log")
+
+
+def test_lost_answer_of_a_publication_publishes_once(config_fleet):
+    faults = {"down": False, "delay_s": 0.0, "lose_answers": 1}
+    send(config_fleet.ports["log"], "POST", "/faults", faults)
+    published = config_fleet.ctl("publish", str(config_fleet.config_path))
+    assert published["version"] == 3
+    wait_for_version(config_fleet, 3)
+
+
+def test_paused_router_does_not_bring_an_old_version_back(config_fleet):
+    config_fleet.signal("router-1", signal.SIGSTOP)
+    try:
+        config_fleet.ctl("publish", str(config_fleet.config_path))
+    finally:
+        config_fleet.signal("router-1", signal.SIGCONT)
+    wait_for_version(config_fleet, 4)
