Leave no process behind when the demo is interrupted

Cause: a signal that struck while a process was being started raised before the process was recorded, so nobody ended it (seen: chicory-ctl went on for about a second after the demo had gone, in 2 of 2 runs). Ruled out: the fleet's own stop; all recorded processes were ended. Change: interrupts are held back between the start of a process and its record; the command line's process is recorded like the others.

--- a/bench/demo.py
+++ b/bench/demo.py
@@ -9,7 +9,14 @@
 from pathlib import Path
 from typing import TypedDict
 
-from bench.fleet import Fleet, FleetError, Reply, running_fleet, send
+from bench.fleet import (
+    Fleet,
+    FleetError,
+    Reply,
+    interrupts,
+    running_fleet,
+    send,
+)
 from chicorystack.defaults import LOOPBACK
 
 EXAMPLE = Path(__file__).parent.parent / "examples" / "brandvagt.yaml"
@@ -22,6 +29,7 @@
 TARGETS = ("fault-model-1", "fault-model-2", "booking-1", "booking-2")
 TARGETS += ("booking-3",)
 BILLING_WAIT_S = 10.0
+EXIT_INTERRUPTED = 130
 
 
 class Summary(TypedDict):
@@ -215,6 +223,7 @@
 
 def main() -> int:
     """Runs the demo and returns its exit code."""
+    interrupts.install()
     directory = Path(tempfile.mkdtemp(prefix="chicory-demo-"))
     try:
         with running_fleet(EXAMPLE, directory) as fleet:
@@ -222,6 +231,9 @@
     except (FleetError, OSError) as error:
         say(f"demo failed: {error}; logs are in {directory}")
         return 1
+    except KeyboardInterrupt:
+        say("demo interrupted; all processes have been ended")
+        return EXIT_INTERRUPTED
     if summary["ok"]:
         shutil.rmtree(directory)
     else:
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -11,9 +11,11 @@
 import time
 from collections.abc import Iterator
 from pathlib import Path
+from subprocess import PIPE
 from typing import NamedTuple, TypedDict
 
 from bench.fault_proxy import NO_FAULTS
+from bench.interrupts import Interrupts
 from chicorystack.config.check import check_text
 from chicorystack.config.model import FleetConfig, Service, build_config
 from chicorystack.defaults import LOOPBACK
@@ -23,6 +25,7 @@
 POLL_S = 0.05
 FLEET_TOKEN = "development-token"
 BIN = Path(sys.executable).parent
+interrupts = Interrupts()
 
 
 class FleetError(Exception):
@@ -309,17 +312,12 @@
 
     def ctl(self, *arguments: str) -> object:
         """Runs chicory-ctl and returns its decoded answer."""
-        result = subprocess.run(
-            [str(BIN / "chicory-ctl"), "--json", *arguments],
-            env=os.environ | self.environment,
-            capture_output=True,
-            text=True,
-            timeout=START_TIMEOUT_S,
-            check=False,
-        )
-        if result.returncode != 0:
-            raise FleetError(result.stderr.strip())
-        return json.loads(result.stdout)
+        command = [str(BIN / "chicory-ctl"), "--json", *arguments]
+        process = self._start("ctl", command, self.environment, PIPE)
+        output, errors = process.communicate(timeout=START_TIMEOUT_S)
+        if process.returncode != 0:
+            raise FleetError(errors.decode().strip())
+        return json.loads(output)
 
     def control(self, port: int, path: str) -> object:
         """Gets a path from a process of the fleet."""
@@ -372,17 +370,24 @@
         )
 
     def _start(
-        self, name: str, command: list[str], environment: dict[str, str]
-    ) -> None:
-        log = (self._log_directory / f"{name}.log").open("ab")
-        self.process_by_name[name] = subprocess.Popen(
-            command,
-            env=os.environ | environment,
-            stdout=log,
-            stderr=log,
-            stdin=subprocess.DEVNULL,
-        )
-        log.close()
+        self,
+        name: str,
+        command: list[str],
+        environment: dict[str, str],
+        output: int | None = None,
+    ) -> subprocess.Popen:
+        """Starts a process; its output goes to a file of its name."""
+        log_path = self._log_directory / f"{name}.log"
+        with log_path.open("ab") as log, interrupts.deferred():
+            process = subprocess.Popen(
+                command,
+                env=os.environ | environment,
+                stdout=output or log,
+                stderr=output or log,
+                stdin=subprocess.DEVNULL,
+            )
+            self.process_by_name[name] = process
+        return process
 
     def signal(self, name: str, number: signal.Signals) -> None:
         """Sends a signal to a process."""
@@ -400,8 +405,8 @@
 def running_fleet(config_path: Path, log_directory: Path) -> Iterator[Fleet]:
     """Yields a fleet and ends its processes, whatever happens."""
     fleet = Fleet(config_path, log_directory)
-    signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
     try:
         yield fleet
     finally:
-        fleet.stop()
+        with interrupts.deferred():
+            fleet.stop()
