--- a/chicorystack/agent/gate.py
+++ b/chicorystack/agent/gate.py
@@ -6,6 +6,7 @@
 from twisted.web import resource, server
 
 from chicorystack.agent.generations import Generations
+from chicorystack.agent.leaving import LeavingState
 from chicorystack.agent.service_calls import ServiceCalls
 from chicorystack.calls.messages import (
     CALL_HEADER,
@@ -27,7 +28,7 @@
     """Takes calls from routers, at `/run`.
 
     Attributes:
-        draining: Whether new calls are refused.
+        leaving: Whether, and why, new calls are refused.
     """
 
     isLeaf = True
@@ -40,6 +41,7 @@
         service_calls: ServiceCalls,
         authorize: Authorizer,
         note_version: Callable[[int], None],
+        leaving: LeavingState,
     ):
         super().__init__()
         self._settings = settings
@@ -48,8 +50,13 @@
         self._service_calls = service_calls
         self._authorize = authorize
         self._note_version = note_version
+        self.leaving = leaving
         self._reported = EngineLoad(running=0, queued=0)
-        self.draining = False
+
+    @property
+    def draining(self) -> bool:
+        """Whether new calls are refused."""
+        return bool(self.leaving)
 
     @property
     def in_flight(self) -> int:
@@ -69,6 +76,8 @@
             running=self._reported["running"],
             queued=self._reported["queued"],
             config_version=self._store.config.version,
+            leaving=self.draining,
+            late_arrivals=self.leaving.late_arrivals,
         )
 
     def note_target_load(self, load: EngineLoad) -> None:
@@ -87,7 +96,7 @@
         if service is None:
             raise ApiError("not_ready", "the agent has no configuration yet")
         if self.draining:
-            raise ApiError("draining", "the target is leaving")
+            raise self.leaving.refusal()
         if service.kind == "engine":
             await self._generations.serve(request, call)
         elif call["repeatable"]:
--- a/chicorystack/agent/main.py
+++ b/chicorystack/agent/main.py
@@ -7,6 +7,7 @@
 from chicorystack import defaults
 from chicorystack.agent.gate import Gate
 from chicorystack.agent.generations import Generations
+from chicorystack.agent.leaving import LeavingState
 from chicorystack.agent.service_calls import ServiceCalls
 from chicorystack.agent.target_client import TargetClient
 from chicorystack.calls.messages import Empty, EngineLoad
@@ -55,7 +56,9 @@
             ServiceCalls(target, RunTable(reactor)),
             authorize,
             self._config_peers.note_version,
+            LeavingState(reactor),
         )
+        self._vm_list.on_change(self._review_vm_list)
         self._load_loop = task.LoopingCall(self._poll_target_load)
         root = Tree()
         root.put("run", self._gate)
@@ -70,13 +73,25 @@
         log.info("guards target {}", self._settings.name)
 
     async def drain(self) -> None:
-        """Refuses new calls, lets those in flight finish, then stops."""
+        """Refuses new calls, lets those in flight finish, then stops.
+
+        It stays until every router knows, and tells kept answers meanwhile.
+        """
         log.info("drains: {} calls in flight", self._gate.in_flight)
-        self._gate.draining = True
+        self._gate.leaving.begin("stop")
+        await task.deferLater(reactor, defaults.LEAVE_KNOWN_S)
         while self._gate.in_flight:
             await task.deferLater(reactor, defaults.DRAIN_CHECK_S)
+        self._port.stopListening()
+        await self._port.factory.close_connections(reactor)
         reactor.stop()
 
+    def _review_vm_list(self) -> None:
+        vm = self._vm_list.vm_by_name.get(self._settings.name)
+        self._gate.leaving.note_vm_list(
+            vm is not None and vm["state"] == "leaving"
+        )
+
     def _peer_urls(self) -> list[str]:
         vms = list(self._vm_list.vm_by_name.values())
         return config_peers(
--- a/chicorystack/calls/messages.py
+++ b/chicorystack/calls/messages.py
@@ -95,6 +95,8 @@
         running: Calls running, as the target last said.
         queued: Calls waiting, as the target last said.
         config_version: Configuration in force at the agent.
+        leaving: Whether it takes no new calls any more.
+        late_arrivals: New calls that came when routers should have known.
     """
 
     target: str
@@ -103,6 +105,8 @@
     running: int
     queued: int
     config_version: int
+    leaving: NotRequired[bool]
+    late_arrivals: NotRequired[int]
 
 
 class Empty(TypedDict):
--- a/chicorystack/defaults.py
+++ b/chicorystack/defaults.py
@@ -33,6 +33,19 @@
 VM_LIST_POLL_S = 1.0
 SHARD_REVIEW_S = 0.5
 
+# Membership.
+AGENT_POLL_S = 1.0
+AGENT_POLL_TIMEOUT_S = 1.0
+# How long a router goes by an agent's word, from the question on.
+AGENT_WORD_VALID_S = 2.5
+# Time after which every router knows that an agent is leaving.
+LEAVE_KNOWN_S = 3.0
+# Time for the platform's balancer to see that a router is not ready.
+BALANCER_NOTICE_S = 3.0
+FLUSH_TIMEOUT_S = 5.0
+HAND_OVER_TIMEOUT_S = 5.0
+LEAVING_ROUTER_REMEMBERED_S = 30.0
+
 # Configuration.
 CONFIG_POLL_S = 1.0
 CONFIG_PEER_TIMEOUT_S = 1.0
--- a/chicorystack/router/admission.py
+++ b/chicorystack/router/admission.py
@@ -1,5 +1,6 @@
 """Turns a caller's request into a checked call with reserved tokens."""
 
+from collections.abc import Callable
 from typing import NamedTuple
 
 import msgspec
@@ -11,6 +12,7 @@
 from chicorystack.calls.messages import CallHeader, GenerateBody
 from chicorystack.config.model import FleetConfig, Operation, Service
 from chicorystack.errors import ApiError
+from chicorystack.membership.readiness import missing_dependency
 from chicorystack.router.auth import CustomerDirectory
 from chicorystack.util import budget_id, key_hash, new_id, shard_of
 from chicorystack.web.server import header
@@ -81,11 +83,13 @@
         site: str,
         customers: CustomerDirectory,
         budgets: BudgetClient,
+        has_target: Callable[[Service], bool],
     ):
         self._clock = clock
         self._site = site
         self._customers = customers
         self._budgets = budgets
+        self._has_target = has_target
 
     async def check(
         self,
@@ -106,6 +110,7 @@
         service, operation = self._operation(
             config, service_name, operation_name
         )
+        self._check_dependencies(config, service)
         key = _call_key(request, operation)
         request.content.seek(0)
         body = request.content.read()
@@ -136,6 +141,20 @@
             min(call.deadline, wait_until),
         )
 
+    def _check_dependencies(
+        self, config: FleetConfig, service: Service
+    ) -> None:
+        site = config.site_by_name[self._site]
+        missing = missing_dependency(site, service, self._has_target)
+        if missing is not None:
+            raise ApiError(
+                "not_ready",
+                f"service '{service.name}' needs '{missing}', which has no "
+                "target that takes work",
+                "rejected",
+                defaults.RETRY_AFTER_MS,
+            )
+
     def _operation(
         self, config: FleetConfig, service_name: str, operation_name: str
     ) -> tuple[Service, Operation]:
--- a/chicorystack/router/attempts.py
+++ b/chicorystack/router/attempts.py
@@ -51,6 +51,7 @@
     ) -> Delivered:
         """Delivers the target's answer; raises NotDeliveredError."""
         header = call.header(reservation, self._clock.seconds())
+        asked_at = self._clock.seconds()
         self._targets.note_sent(target.name, +1)
         try:
             delivered = await self._forwarder.forward(
@@ -58,6 +59,8 @@
             )
         except NotDeliveredError as error:
             log.warning("target {}: {}", target.name, error)
+            if error.refusal and error.refusal.code == "draining":
+                self._targets.note_refused(target.name, asked_at)
             raise
         finally:
             self._targets.note_sent(target.name, -1)
--- a/chicorystack/router/main.py
+++ b/chicorystack/router/main.py
@@ -9,11 +9,13 @@
 from chicorystack.budget.client import BudgetClient, KeeperLocator
 from chicorystack.budget.keeper_service import KeeperService
 from chicorystack.budget.messages import CustomerQuery, Exchange
-from chicorystack.calls.messages import Empty
+from chicorystack.calls.messages import Empty, LoadReport
 from chicorystack.config.messages import ConfigInForce, ConfigQuery
 from chicorystack.config.peers import live_routers
 from chicorystack.config.source import RouterConfigSource
 from chicorystack.config.store import ConfigStore
+from chicorystack.membership.presence import Presence
+from chicorystack.membership.reports import ReportPoller
 from chicorystack.observe.logs import part_logger, setup_logs
 from chicorystack.platform.log_client import LogClient
 from chicorystack.platform.messages import Vm
@@ -65,7 +67,11 @@
         self._vm_list = VmListPoller(
             reactor, self._client, settings.vm_list_url
         )
-        self._targets = TargetTable(settings.data_centre)
+        presence = Presence(reactor)
+        self._targets = TargetTable(settings.data_centre, presence)
+        self._reports = ReportPoller(
+            reactor, self._client, presence, self._agent_urls
+        )
         self._draining = False
         log_client = LogClient(reactor, self._client, settings.log_url)
         self._config = RouterConfigSource(
@@ -84,7 +90,13 @@
         locator = KeeperLocator(reactor, self._client, self._live_routers)
         self._budgets = BudgetClient(reactor, locator)
         customers = CustomerDirectory(reactor, self._budgets)
-        admission = Admission(reactor, settings.site, customers, self._budgets)
+        admission = Admission(
+            reactor,
+            settings.site,
+            customers,
+            self._budgets,
+            self._targets.has_target,
+        )
         attempt = Attempt(
             reactor, self._targets, Forwarder(reactor, settings.fleet_token)
         )
@@ -118,6 +130,8 @@
         """Begins to follow the platform and to serve."""
         self._config.start()
         self._vm_list.start()
+        self._reports.on_report(self._note_report)
+        self._reports.start()
         self._budgets.start()
         self._review_loop.start(defaults.SHARD_REVIEW_S)
         log.info("serves site {}", self._settings.site)
@@ -152,7 +166,12 @@
 
     async def _readiness(self, _message: Empty) -> Readiness:
         version = self._store.config.version
-        ready = version > 0 and self._vm_list.loaded and not self._draining
+        ready = (
+            version > 0
+            and self._vm_list.loaded
+            and self._reports.settled
+            and not self._draining
+        )
         return Readiness(ready=ready, config_version=version)
 
     async def _answer_config(self, query: ConfigQuery) -> ConfigInForce:
@@ -176,6 +195,14 @@
         self._targets.update(
             self._store.config, self._settings.site, self._vm_list.vm_by_name
         )
+        self._reports.poll()
+
+    def _agent_urls(self) -> dict[str, str]:
+        targets = self._targets.target_by_name.values()
+        return {target.name: target.url for target in targets}
+
+    def _note_report(self, report: LoadReport) -> None:
+        self._config.peers.note_version(report["config_version"])
 
 
 def run(settings: RouterSettings) -> None:
--- a/chicorystack/routing/targets.py
+++ b/chicorystack/routing/targets.py
@@ -3,6 +3,7 @@
 from typing import NamedTuple
 
 from chicorystack.config.model import FleetConfig, Service
+from chicorystack.membership.presence import Presence
 from chicorystack.platform.messages import Vm
 from chicorystack.util import rendezvous_order
 
@@ -32,14 +33,16 @@
         target_by_name: Targets that are in both.
     """
 
-    def __init__(self, data_centre: str):
+    def __init__(self, data_centre: str, presence: Presence):
         self._data_centre = data_centre
+        self._presence = presence
         self.target_by_name: dict[str, TargetState] = {}
 
     def update(
         self, config: FleetConfig, site: str, vm_by_name: dict[str, Vm]
     ) -> None:
         """Takes over a new configuration or VM list."""
+        self._presence.take_vm_list(vm_by_name)
         earlier = self.target_by_name
         self.target_by_name = {}
         if site not in config.site_by_name:
@@ -67,9 +70,21 @@
             for name in service.target_by_name
             if name in self.target_by_name and name not in tried
         ]
-        usable = [target for target in candidates if not target.leaving]
+        usable = [
+            target
+            for target in candidates
+            if self._presence.takes_work(target.name)
+        ]
         return min(usable, key=self._cost, default=None)
 
+    def has_target(self, service: Service) -> bool:
+        """Tells whether any target of a service takes work."""
+        return any(map(self._presence.takes_work, service.target_by_name))
+
+    def note_refused(self, name: str, asked_at: float) -> None:
+        """Notes that a target's agent refused new work."""
+        self._presence.take_word(name, False, asked_at)
+
     def _cost(self, target: TargetState) -> tuple[int, bool]:
         return target.sent, target.data_centre != self._data_centre
 
--- a/chicorystack/web/server.py
+++ b/chicorystack/web/server.py
@@ -13,6 +13,7 @@
 from chicorystack import defaults
 from chicorystack.errors import ApiError
 from chicorystack.observe.logs import part_logger
+from chicorystack.web.graceful import GracefulSite
 
 log = part_logger("web")
 encoder = msgspec.json.Encoder()
@@ -48,6 +49,9 @@
 
     def process(self) -> None:
         """Refuses a body that was too large; else serves the request."""
+        if self.channel.site.closing:
+            self.setHeader(b"connection", b"close")
+            self.channel.persistent = False
         if not self._too_large:
             super().process()
             return
@@ -60,7 +64,7 @@
     reactor: IReactorTCP, root: resource.Resource, address: str, port: int
 ):
     """Serves root over HTTP and returns the listening port."""
-    site = server.Site(root, timeout=defaults.HTTP_IDLE_TIMEOUT_S)
+    site = GracefulSite(root, timeout=defaults.HTTP_IDLE_TIMEOUT_S)
     site.requestFactory = LimitedRequest
     site.noisy = False
     return reactor.listenTCP(port, site, interface=address, backlog=512)
