--- a/bench/chaos.py
+++ b/bench/chaos.py
@@ -408,7 +408,7 @@
     }
     print(json.dumps(summary), flush=True)
     if found:
-        flags = f"--seed={seed} --seconds={seconds} --faults={faults!r}"
+        flags = f"--seed={seed} --seconds={seconds} --faults={','.join(kinds)}"
         print(f"again: python -m bench.chaos {flags}; logs: {directory}")
     return 0 if not found else 1
 
