Stop routers and agents without cutting a call; settle who takes new work

Change: handlers are installed once the reactor runs. An agent that knows it leaves (SIGTERM, or its mark on the VM list) refuses new calls, says so on each report, stays 3 s and until its calls are finished. Routers ask every agent once a second and send new work only on a word asked for less than 2.5 s ago; a refusal counts at once and an older word does not undo it. A router that stops is not ready first, resigns to the routers that come next for its shards, serves on for 3 s, finishes, closes connections once flushed, and reports its usage.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -91,9 +91,11 @@
         connection.close()
 
 
-def wait_until(what: str, condition) -> None:
+def wait_until(
+    what: str, condition, timeout_s: float = START_TIMEOUT_S
+) -> None:
     """Waits until a condition holds; raises FleetError where it never does."""
-    give_up_at = time.monotonic() + START_TIMEOUT_S
+    give_up_at = time.monotonic() + timeout_s
     while time.monotonic() < give_up_at:
         with contextlib.suppress(OSError, http.client.HTTPException):
             if condition():
@@ -285,6 +287,16 @@
                 seen_port = self._route(view, name, port)
             self._change_list(list_port, [vm | {"port": seen_port}], [])
 
+    def mark_vm(self, name: str, state: str) -> None:
+        """Marks a VM as `leaving` or `live` on the platform's list."""
+        for port in (
+            self.ports["vm_list"],
+            *self._vm_list_port_by_view.values(),
+        ):
+            listed = send(port, "GET", "/vms").json()["vms"]
+            vms = [vm | {"state": state} for vm in listed if vm["name"] == name]
+            self._change_list(port, vms, [])
+
     def unlist_vm(self, name: str) -> None:
         """Takes a VM off the platform's list."""
         for port in (
@@ -393,6 +405,11 @@
         """Sends a signal to a process."""
         self.process_by_name[name].send_signal(number)
 
+    def kill(self, name: str) -> None:
+        """Kills a process at once and waits for its end."""
+        self.process_by_name[name].kill()
+        self.process_by_name[name].wait(STOP_TIMEOUT_S)
+
     def stop(self) -> None:
         """Ends all processes."""
         for process in self.process_by_name.values():
--- a/chicorystack/agent/main.py
+++ b/chicorystack/agent/main.py
@@ -1,7 +1,5 @@
 """Starts an agent: settings, followers, the gate, orderly stop."""
 
-import signal
-
 from twisted.internet import defer, reactor, task
 
 from chicorystack import defaults
@@ -15,6 +13,7 @@
 from chicorystack.config.peers import PeerPoller, config_peers
 from chicorystack.config.store import ConfigStore
 from chicorystack.errors import ApiError
+from chicorystack.lifecycle import run_until_stopped
 from chicorystack.observe.logs import part_logger, setup_logs
 from chicorystack.platform.vm_list import VmListPoller
 from chicorystack.settings.loader import run_program, settings_command
@@ -115,13 +114,7 @@
     setup_logs(settings.name, settings.log_level)
     process = AgentProcess(settings)
     process.start()
-    signal.signal(
-        signal.SIGTERM,
-        lambda *_: reactor.callFromThread(
-            defer.ensureDeferred, process.drain()
-        ),
-    )
-    reactor.run()
+    run_until_stopped(reactor, process.drain)
 
 
 def main() -> None:
--- a/chicorystack/router/main.py
+++ b/chicorystack/router/main.py
@@ -1,9 +1,8 @@
 """Starts a router: settings, followers, interfaces, orderly stop."""
 
-import signal
 from typing import TypedDict
 
-from twisted.internet import defer, reactor, task
+from twisted.internet import reactor, task
 
 from chicorystack import defaults
 from chicorystack.budget.client import BudgetClient, KeeperLocator
@@ -11,11 +10,12 @@
 from chicorystack.budget.messages import CustomerQuery, Exchange
 from chicorystack.calls.messages import Empty, LoadReport
 from chicorystack.config.messages import ConfigInForce, ConfigQuery
-from chicorystack.config.peers import live_routers
 from chicorystack.config.source import RouterConfigSource
 from chicorystack.config.store import ConfigStore
+from chicorystack.lifecycle import run_until_stopped
 from chicorystack.membership.presence import Presence
 from chicorystack.membership.reports import ReportPoller
+from chicorystack.membership.routers import LiveRouters, RouterLeaving
 from chicorystack.observe.logs import part_logger, setup_logs
 from chicorystack.platform.log_client import LogClient
 from chicorystack.platform.messages import Vm
@@ -28,6 +28,7 @@
 )
 from chicorystack.router.auth import CustomerDirectory
 from chicorystack.router.dispatcher import Dispatcher
+from chicorystack.router.drain import Drain
 from chicorystack.router.forwarder import Forwarder
 from chicorystack.router.resources import caller_tree
 from chicorystack.routing.targets import TargetTable
@@ -72,7 +73,6 @@
         self._reports = ReportPoller(
             reactor, self._client, presence, self._agent_urls
         )
-        self._draining = False
         log_client = LogClient(reactor, self._client, settings.log_url)
         self._config = RouterConfigSource(
             reactor,
@@ -82,12 +82,19 @@
             self._store,
             self._vms,
         )
+        self._routers = LiveRouters(reactor, self._vms)
         own_url = f"http://{settings.address}:{settings.control_port}"
         self._keeper = KeeperService(
-            reactor, log_client, settings.name, own_url, self._live_routers
+            reactor,
+            log_client,
+            settings.name,
+            own_url,
+            self._routers.url_by_name,
         )
         self._review_loop = task.LoopingCall(self._review_shards)
-        locator = KeeperLocator(reactor, self._client, self._live_routers)
+        locator = KeeperLocator(
+            reactor, self._client, self._routers.url_by_name
+        )
         self._budgets = BudgetClient(reactor, locator)
         customers = CustomerDirectory(reactor, self._budgets)
         admission = Admission(
@@ -108,6 +115,15 @@
             RepeatableAttempts(reactor, self._targets, attempt),
             OwnerAttempts(self._targets, attempt),
         )
+        self._drain = Drain(
+            reactor,
+            settings.name,
+            self._client,
+            self._routers,
+            self._dispatcher,
+            self._keeper,
+            self._budgets,
+        )
         self._store.on_change(lambda _: self._update_targets())
         self._vm_list.on_change(self._update_targets)
         self._vm_list.on_change(self._config.review_vms)
@@ -137,13 +153,8 @@
         log.info("serves site {}", self._settings.site)
 
     async def drain(self) -> None:
-        """Refuses new connections, finishes calls in flight, then stops."""
-        log.info("drains: {} calls in flight", self._dispatcher.in_flight)
-        self._draining = True
-        self._caller_port.stopListening()
-        while self._dispatcher.in_flight:
-            await task.deferLater(reactor, defaults.DRAIN_CHECK_S)
-        reactor.stop()
+        """Stops once nothing is left to finish or hand over."""
+        await self._drain.run(self._caller_port, reactor.stop)
 
     def _control_tree(self) -> Tree:
         authorize = fleet_authorizer(self._settings.fleet_token)
@@ -153,6 +164,7 @@
         root.put("readyz", JsonEndpoint(Empty, self._readiness, open_to_all))
         endpoints = [
             ("config", ConfigQuery, self._answer_config),
+            ("leaving", RouterLeaving, self._note_leaving),
             ("keeper/exchange", Exchange, keeper.handle_exchange),
             ("keeper/customer", CustomerQuery, keeper.handle_customer),
             ("keeper/budgets", CustomerQuery, keeper.handle_budgets),
@@ -170,7 +182,7 @@
             version > 0
             and self._vm_list.loaded
             and self._reports.settled
-            and not self._draining
+            and not self._drain.begun
         )
         return Readiness(ready=ready, config_version=version)
 
@@ -180,15 +192,12 @@
     def _vms(self) -> list[Vm]:
         return list(self._vm_list.vm_by_name.values())
 
-    def _live_routers(self) -> dict[str, str]:
-        """Returns control URLs of live routers by name."""
-        return {
-            vm["name"]: f"http://{vm['address']}:{vm['port']}"
-            for vm in live_routers(self._vms())
-        }
+    async def _note_leaving(self, notice: RouterLeaving) -> Empty:
+        self._routers.note_leaving(notice["name"])
+        return Empty()
 
     def _review_shards(self) -> None:
-        if self._store.config.version and not self._draining:
+        if self._store.config.version and not self._drain.begun:
             self._keeper.review(self._store.config.shard_count)
 
     def _update_targets(self) -> None:
@@ -210,13 +219,7 @@
     setup_logs(settings.name, settings.log_level)
     process = RouterProcess(settings)
     process.start()
-    signal.signal(
-        signal.SIGTERM,
-        lambda *_: reactor.callFromThread(
-            defer.ensureDeferred, process.drain()
-        ),
-    )
-    reactor.run()
+    run_until_stopped(reactor, process.drain)
 
 
 def main() -> None:
--- a/tests/membership/test_presence_machine.py
+++ b/tests/membership/test_presence_machine.py
@@ -123,3 +123,12 @@
     agent.begin("stop")
     agent.note_vm_list(False)
     assert agent
+
+
+def test_word_counts_from_the_question_however_late_it_comes():
+    clock = Clock()
+    presence = Presence(clock)
+    presence.take_vm_list(LIVE)
+    clock.advance(defaults.AGENT_WORD_VALID_S + 0.1)
+    presence.take_word(NAME, True, 0.0)
+    assert not presence.takes_work(NAME)
