Record decisions and metrics at routers, agents and keepers; give agents health endpoints

Cause: no process told why it refused, retried or lost a duty, and agents had no readiness endpoint.

--- a/chicorystack/agent/gate.py
+++ b/chicorystack/agent/gate.py
@@ -15,6 +15,8 @@
 from chicorystack.config.model import Service
 from chicorystack.config.store import ConfigStore
 from chicorystack.errors import ApiError
+from chicorystack.observe.decisions import decisions
+from chicorystack.observe.metrics import metrics
 from chicorystack.settings.types import AgentSettings
 from chicorystack.web.server import Authorizer, header, run_handler
 
@@ -77,11 +79,21 @@
     async def _handle(self, request: server.Request) -> None:
         self._authorize(request)
         call = _decode_call(request)
+        metrics.count("gate.received")
+        try:
+            await self._serve(request, call)
+        except ApiError as error:
+            metrics.count(f"gate.refused.{error.code}")
+            decisions.record_notable(call["key"], "gate", "refused", str(error))
+            raise
+
+    async def _serve(self, request: server.Request, call: CallHeader) -> None:
         service = self._service()
         if service is None:
             raise ApiError("not_ready", "the agent has no configuration yet")
         if self.draining:
             raise ApiError("draining", "the target is leaving")
+        decisions.record(call["key"], "gate", "let through", call["use"])
         if service.kind == "engine":
             await self._generations.serve(request, call)
         elif call["repeatable"]:
--- a/chicorystack/agent/main.py
+++ b/chicorystack/agent/main.py
@@ -14,7 +14,14 @@
 from chicorystack.config.messages import CONFIG_STREAM
 from chicorystack.config.store import ConfigStore
 from chicorystack.errors import ApiError
+from chicorystack.observe.endpoints import (
+    ProcessStatus,
+    Readiness,
+    make_status,
+    put_observe_endpoints,
+)
 from chicorystack.observe.logs import part_logger, setup_logs
+from chicorystack.observe.metrics import start_metrics
 from chicorystack.platform.log_client import LogClient, LogFollower
 from chicorystack.settings.loader import run_program, settings_command
 from chicorystack.settings.types import AgentSettings
@@ -57,6 +64,7 @@
         root = Tree()
         root.put("run", self._gate)
         root.put("load", JsonEndpoint(Empty, self._gate.load, authorize))
+        put_observe_endpoints(root, authorize, self._readiness, self._status)
         self._port = listen(reactor, root, settings.address, settings.port)
 
     def start(self) -> None:
@@ -73,6 +81,23 @@
             await task.deferLater(reactor, defaults.DRAIN_CHECK_S)
         reactor.stop()
 
+    def _readiness(self) -> Readiness:
+        version = self._store.config.version
+        readiness = Readiness(ready=True, config_version=version)
+        if self._gate.draining:
+            readiness |= {"ready": False, "reason": "draining"}
+        elif version == 0:
+            readiness |= {"ready": False, "reason": "no configuration yet"}
+        return readiness
+
+    def _status(self) -> ProcessStatus:
+        return make_status(
+            self._settings.name,
+            "agent",
+            self._readiness(),
+            self._gate.in_flight,
+        )
+
     def _poll_target_load(self):
         return defer.ensureDeferred(self._fetch_target_load())
 
@@ -88,6 +113,7 @@
 def run(settings: AgentSettings) -> None:
     """Runs an agent until it is told to stop."""
     setup_logs(settings.name, settings.log_level)
+    start_metrics(reactor, settings.statsd, settings.name)
     process = AgentProcess(settings)
     process.start()
     signal.signal(
--- a/chicorystack/agent/service_calls.py
+++ b/chicorystack/agent/service_calls.py
@@ -8,6 +8,7 @@
 from chicorystack.calls.messages import CallHeader
 from chicorystack.calls.run_table import KeptAnswer, RunTable
 from chicorystack.errors import ApiError
+from chicorystack.observe.decisions import decisions
 from chicorystack.observe.logs import part_logger
 
 log = part_logger("service-calls")
@@ -36,7 +37,10 @@
         self, request: server.Request, call: CallHeader
     ) -> None:
         """Runs a call, or gives the answer of its earlier run."""
-        if self._runs.begin(call):
+        begun = self._runs.begin(call)
+        decision = "run" if begun else "not run again; kept answer"
+        decisions.record(call["key"], "run-table", decision, call["use"])
+        if begun:
             # Detached: the run goes on when the router or its caller goes.
             defer.ensureDeferred(self._execute_once(request, call))
         answer = await self._runs.answer(call)
--- a/chicorystack/budget/keeper_service.py
+++ b/chicorystack/budget/keeper_service.py
@@ -19,7 +19,9 @@
 )
 from chicorystack.budget.sharing import FractionSharing, SharingPolicy
 from chicorystack.errors import ApiError
+from chicorystack.observe.decisions import decisions
 from chicorystack.observe.logs import part_logger
+from chicorystack.observe.metrics import metrics
 from chicorystack.platform.log_client import LogClient, LogFollower
 from chicorystack.util import new_id, rendezvous_order
 
@@ -87,6 +89,7 @@
             raise ApiError("conflict", "a later exchange has been seen")
         await self._commit(keeper, message)
         granted = self._grant(keeper, message)
+        _note_grants(message, granted)
         return _reply(
             keeper,
             accepted=True,
@@ -145,6 +148,13 @@
         self.ledger.apply(entry)
         if self.keeper is not None and not self.keeper.in_force:
             log.info("shard {} has a newer keeper", self.ledger.shard)
+            metrics.count("keeper.losses")
+            decisions.record_notable(
+                self._stream,
+                "keeper",
+                "duty lost",
+                f"epoch {self.ledger.epoch} stands in the log",
+            )
             self.keeper = None
 
     async def _append_claim(self) -> None:
@@ -163,6 +173,13 @@
         if claim is None or claim["id"] != record["id"]:
             return
         self.keeper = ShardKeeper(self.ledger, record["epoch"], self._policy)
+        metrics.count("keeper.claims")
+        decisions.record_notable(
+            self._stream,
+            "keeper",
+            f"keeps it in epoch {record['epoch']}",
+            f"claim at offset {offset}",
+        )
         log.info(
             "keeps shard {} in epoch {}", self.ledger.shard, claim["epoch"]
         )
@@ -209,6 +226,20 @@
             done.callback(None)
 
 
+def _note_grants(message: Exchange, granted: dict[str, int]) -> None:
+    metrics.count("keeper.exchanges")
+    for budget, tokens in granted.items():
+        metrics.count("keeper.granted", tokens)
+        subject = f"budget:{budget}"
+        cause = f"wanted {message['wanted'][budget]}"
+        if tokens:
+            decision = f"granted {tokens} to {message['holder']}"
+            decisions.record(subject, "keeper", decision, cause)
+        else:
+            decision = f"refused {message['holder']}"
+            decisions.record_notable(subject, "keeper", decision, cause)
+
+
 def _fire_later(result, waiting: defer.Deferred):
     if not waiting.called:
         waiting.callback(None)
@@ -279,6 +310,14 @@
         claiming = defer.ensureDeferred(duty.claim())
         claiming.addErrback(_log_failure, shard)
 
+    def epoch_by_shard(self) -> dict[str, int]:
+        """Returns the shards that this router keeps, with their epochs."""
+        return {
+            str(shard): duty.keeper.epoch
+            for shard, duty in self.duty_by_shard.items()
+            if duty.keeper is not None and duty.keeper.in_force
+        }
+
     def stop(self) -> None:
         """Gives up all duties."""
         for duty in self.duty_by_shard.values():
--- a/chicorystack/config/store.py
+++ b/chicorystack/config/store.py
@@ -6,12 +6,15 @@
 
 from chicorystack.config.messages import ConfigInForce, ConfigRecord
 from chicorystack.config.model import FleetConfig, build_config
+from chicorystack.observe.decisions import decisions
 from chicorystack.observe.invariants import require
 from chicorystack.observe.logs import part_logger
+from chicorystack.observe.metrics import metrics
 from chicorystack.platform.messages import LogEntry
 
 log = part_logger("config")
 record_decoder = msgspec.json.Decoder(ConfigRecord)
+CONFIG_SUBJECT = "config"
 
 
 class ConfigStore:
@@ -43,6 +46,7 @@
                 record["replaces"],
                 self.config.version,
             )
+            _record_loser(record, self.config.version)
             return
         self._id_by_version[record["replaces"] + 1] = record["id"]
         self._enter(
@@ -77,5 +81,22 @@
         self._in_force = told
         self.config = build_config(told["config"], told["version"])
         log.info("configuration {} is in force", self.config.version)
+        metrics.count("config.entered")
+        decisions.record_notable(
+            CONFIG_SUBJECT,
+            "config",
+            f"version {told['version']} in force",
+            f"record at offset {told['offset']}",
+        )
         for listener in self._listeners:
             listener(self.config)
+
+
+def _record_loser(record: ConfigRecord, in_force: int) -> None:
+    metrics.count("config.lost")
+    decisions.record_notable(
+        CONFIG_SUBJECT,
+        "config",
+        f"publication {record['id']} lost",
+        f"it replaces version {record['replaces']}, but {in_force} is in force",
+    )
--- a/chicorystack/observe/invariants.py
+++ b/chicorystack/observe/invariants.py
@@ -3,7 +3,9 @@
 from collections import Counter
 
 from chicorystack.errors import ChicoryError
+from chicorystack.observe.decisions import decisions
 from chicorystack.observe.logs import part_logger
+from chicorystack.observe.metrics import metrics
 
 log = part_logger("invariant")
 violations_by_name: Counter[str] = Counter()
@@ -27,5 +29,7 @@
     if holds:
         return
     violations_by_name[name] += 1
+    metrics.count(f"invariant.violated.{name}")
+    decisions.record_notable("invariants", "invariant", name, detail)
     log.error("invariant {} violated: {}", name, detail)
     raise InvariantError(f"{name}: {detail}")
--- a/chicorystack/observe/metrics.py
+++ b/chicorystack/observe/metrics.py
@@ -39,7 +39,9 @@
     "calls.broken_off": Metric("counter", "answers cut after they began"),
     "calls.abandoned": Metric("counter", "calls whose caller went away"),
     "calls.refused.*": Metric("counter", "refusals, by error code"),
-    "calls.duration": Metric("timing", "from receipt to the whole answer"),
+    "calls.duration": Metric(
+        "timing", "from a call's check to its whole answer"
+    ),
     "attempts.sent": Metric("counter", "calls sent to an agent"),
     "attempts.failed": Metric("counter", "attempts without a whole answer"),
     "gate.received": Metric("counter", "calls that reached this agent"),
--- a/chicorystack/router/attempts.py
+++ b/chicorystack/router/attempts.py
@@ -7,7 +7,9 @@
 from chicorystack import defaults
 from chicorystack.budget.wallet import Reservation
 from chicorystack.errors import ApiError
+from chicorystack.observe.decisions import decisions
 from chicorystack.observe.logs import part_logger
+from chicorystack.observe.metrics import metrics
 from chicorystack.router.admission import Call
 from chicorystack.router.forwarder import (
     Delivered,
@@ -52,12 +54,18 @@
         """Delivers the target's answer; raises NotDeliveredError."""
         header = call.header(reservation, self._clock.seconds())
         self._targets.note_sent(target.name, +1)
+        metrics.count("attempts.sent")
+        decisions.record(call.key, "attempts", "sent", target.name)
         try:
             delivered = await self._forwarder.forward(
                 target.url, header, call.body, request
             )
         except NotDeliveredError as error:
-            log.warning("target {}: {}", target.name, error)
+            log.warning("target {}: {}", target.name, error, key=call.key)
+            metrics.count("attempts.failed")
+            decisions.record_notable(
+                call.key, "attempts", f"failed at {target.name}", str(error)
+            )
             raise
         finally:
             self._targets.note_sent(target.name, -1)
--- a/chicorystack/router/auth.py
+++ b/chicorystack/router/auth.py
@@ -38,10 +38,9 @@
         Raises:
             ApiError: `unauthorized` or `budget_unreachable`.
         """
-        parts = (authorization or "").removeprefix(BEARER).split(".")
-        if len(parts) != 3 or parts[0] != KEY_PREFIX:
+        name, secret = _split_key(authorization)
+        if not name:
             raise _unauthorized()
-        _, name, secret = parts
         customer = await self._customer(name, shard_of(name, shard_count))
         shown = secret_hash(secret, customer["key_salt"])
         if not hmac.compare_digest(shown, customer["key_hash"]):
@@ -70,5 +69,18 @@
         return reply
 
 
+def claimed_customer(authorization: str | None) -> str:
+    """Returns the customer that a header names, unchecked; else empty."""
+    return _split_key(authorization)[0]
+
+
+def _split_key(authorization: str | None) -> tuple[str, str]:
+    """Returns name and secret, both empty where the header is malformed."""
+    parts = (authorization or "").removeprefix(BEARER).split(".")
+    if len(parts) != 3 or parts[0] != KEY_PREFIX:
+        return "", ""
+    return parts[1], parts[2]
+
+
 def _unauthorized() -> ApiError:
     return ApiError("unauthorized", "unknown customer or wrong key", "rejected")
--- a/chicorystack/router/dispatcher.py
+++ b/chicorystack/router/dispatcher.py
@@ -5,8 +5,11 @@
 
 from chicorystack import defaults
 from chicorystack.budget.client import BudgetClient
+from chicorystack.config.model import FleetConfig
 from chicorystack.config.store import ConfigStore
 from chicorystack.errors import ApiError
+from chicorystack.observe.metrics import metrics
+from chicorystack.router import call_log
 from chicorystack.router.admission import Admission, Call
 from chicorystack.router.attempts import Attempts
 from chicorystack.router.forwarder import NotDeliveredError
@@ -39,6 +42,7 @@
         self, request: server.Request, service: str, operation: str
     ) -> None:
         """Serves one call; raises ApiError for the caller."""
+        metrics.count("calls.received")
         config = self._store.config
         if config.version == 0:
             raise ApiError(
@@ -49,35 +53,67 @@
             )
         self.in_flight += 1
         try:
-            call = await self._admission.check(
-                request, config, service, operation
-            )
+            call = await self._check(request, config, service, operation)
             await self._serve_checked(request, call)
         finally:
             self.in_flight -= 1
 
+    async def _check(
+        self,
+        request: server.Request,
+        config: FleetConfig,
+        service: str,
+        operation: str,
+    ) -> Call:
+        try:
+            return await self._admission.check(
+                request, config, service, operation
+            )
+        except ApiError as error:
+            call_log.note_rejected(request, error)
+            raise
+
     async def _serve_checked(self, request: server.Request, call: Call) -> None:
+        started = self._clock.seconds()
         try:
             reservation = await self._admission.reserve(call)
         except ApiError as error:
-            raise _with_outcome(error, call) from error
+            raise _refusal(error, call) from error
+        call_log.note_reserved(call, reservation)
         used = 0
         try:
             delivered = await self._attempts(call).run(
                 request, call, reservation
             )
             used = min(delivered.tokens, reservation.tokens)
-        except (NotDeliveredError, defer.CancelledError):
+            duration_s = self._clock.seconds() - started
+            call_log.note_answered(call, delivered, duration_s)
+        except (NotDeliveredError, defer.CancelledError) as error:
             # What it used is not known here; charge the bound.
             used = reservation.tokens
+            _note_cut(call, error)
             request.transport.abortConnection()
         except ApiError as error:
-            raise _with_outcome(error, call) from error
+            raise _refusal(error, call) from error
         finally:
             wallet = self._budgets.wallet(reservation.shard)
             wallet.settle(reservation, call.key, used)
 
 
+def _note_cut(call: Call, error: BaseException) -> None:
+    if isinstance(error, defer.CancelledError):
+        call_log.note_abandoned(call)
+    else:
+        call_log.note_broken_off(call, error)
+
+
+def _refusal(error: ApiError, call: Call) -> ApiError:
+    """Returns the refusal that the caller gets, and notes it."""
+    refusal = _with_outcome(error, call)
+    call_log.note_refused(call, refusal)
+    return refusal
+
+
 def _with_outcome(error: ApiError, call: Call) -> ApiError:
     """Adds what is known of the call to a refusal that does not say it.
 
--- a/chicorystack/router/main.py
+++ b/chicorystack/router/main.py
@@ -1,7 +1,6 @@
 """Starts a router: settings, followers, interfaces, orderly stop."""
 
 import signal
-from typing import TypedDict
 
 from twisted.internet import defer, reactor, task
 
@@ -12,7 +11,15 @@
 from chicorystack.calls.messages import Empty
 from chicorystack.config.messages import CONFIG_STREAM, ConfigInForce
 from chicorystack.config.store import ConfigStore
+from chicorystack.observe.endpoints import (
+    ProcessStatus,
+    Readiness,
+    TargetStatus,
+    make_status,
+    put_observe_endpoints,
+)
 from chicorystack.observe.logs import part_logger, setup_logs
+from chicorystack.observe.metrics import start_metrics
 from chicorystack.platform.log_client import LogClient, LogFollower
 from chicorystack.platform.vm_list import VmListPoller
 from chicorystack.router.admission import Admission
@@ -34,24 +41,11 @@
     Tree,
     fleet_authorizer,
     listen,
-    open_to_all,
 )
 
 log = part_logger("router")
 
 
-class Readiness(TypedDict):
-    """Whether a router can serve calls.
-
-    Attributes:
-        ready: Whether it has a configuration and the VM list, and stays.
-        config_version: Version in force here.
-    """
-
-    ready: bool
-    config_version: int
-
-
 class RouterProcess:
     """One router with all its parts."""
 
@@ -126,8 +120,7 @@
         authorize = fleet_authorizer(self._settings.fleet_token)
         keeper = self._keeper
         root = Tree()
-        root.put("healthz", JsonEndpoint(Empty, self._health, open_to_all))
-        root.put("readyz", JsonEndpoint(Empty, self._readiness, open_to_all))
+        put_observe_endpoints(root, authorize, self._readiness, self._status)
         endpoints = [
             ("config", Empty, self._config),
             ("keeper/exchange", Exchange, keeper.handle_exchange),
@@ -138,13 +131,34 @@
             root.put(path, JsonEndpoint(message_type, handler, authorize))
         return root
 
-    async def _health(self, _message: Empty) -> Empty:
-        return Empty()
-
-    async def _readiness(self, _message: Empty) -> Readiness:
+    def _readiness(self) -> Readiness:
         version = self._store.config.version
-        ready = version > 0 and self._vm_list.loaded and not self._draining
-        return Readiness(ready=ready, config_version=version)
+        readiness = Readiness(ready=True, config_version=version)
+        if self._draining:
+            readiness |= {"ready": False, "reason": "draining"}
+        elif version == 0:
+            readiness |= {"ready": False, "reason": "no configuration yet"}
+        elif not self._vm_list.loaded:
+            readiness |= {"ready": False, "reason": "no VM list yet"}
+        return readiness
+
+    def _status(self) -> ProcessStatus:
+        status = make_status(
+            self._settings.name,
+            "router",
+            self._readiness(),
+            self._dispatcher.in_flight,
+        )
+        status["epoch_by_shard"] = self._keeper.epoch_by_shard()
+        status["targets"] = [
+            TargetStatus(
+                target=target.name,
+                leaving=target.leaving,
+                in_flight=target.sent,
+            )
+            for target in self._targets.target_by_name.values()
+        ]
+        return status
 
     async def _config(self, _message: Empty) -> ConfigInForce:
         return self._store.in_force()
@@ -170,6 +184,7 @@
 def run(settings: RouterSettings) -> None:
     """Runs a router until it is told to stop."""
     setup_logs(settings.name, settings.log_level)
+    start_metrics(reactor, settings.statsd, settings.name)
     process = RouterProcess(settings)
     process.start()
     signal.signal(
