Add audit, status and explain; parse a command line whole before it acts

Cause: fire runs a command before it looks at the words after it, so a misspelt flag after 'top_up' was reported once the tokens were added. Wrong values (log level, port, address in use) ended in tracebacks, help did not list ctl's commands, and operators had no audit trail, status or explanation. Change: commands return an Action that runs once the line is understood; settings say what each value looks like; unknown CHICORY_ variables are refused; ctl gets audit, status and explain. Existing test changed: the loader's settings were placeholders ('x' for a URL); they are valid ones now, as values are checked by more than their type.

--- a/chicorystack/agent/main.py
+++ b/chicorystack/agent/main.py
@@ -23,7 +23,8 @@
 from chicorystack.observe.logs import part_logger, setup_logs
 from chicorystack.observe.metrics import start_metrics
 from chicorystack.platform.log_client import LogClient, LogFollower
-from chicorystack.settings.loader import run_program, settings_command
+from chicorystack.settings.command_line import run_program
+from chicorystack.settings.loader import settings_command
 from chicorystack.settings.types import AgentSettings
 from chicorystack.web.client import (
     JsonClient,
--- a/chicorystack/ctl/customers.py
+++ b/chicorystack/ctl/customers.py
@@ -11,6 +11,7 @@
     shard_stream,
 )
 from chicorystack.ctl.session import CommandError, Session
+from chicorystack.ctl.tables import table
 from chicorystack.util import new_id, secret_hash, shard_of
 
 NAME_PATTERN = re.compile(r"^[a-z0-9][a-z0-9-]{0,62}$")
@@ -58,7 +59,7 @@
     """Adds tokens to a budget; the same id counts once."""
     _check_name(customer)
     _check_name(budget)
-    if not isinstance(tokens, int) or tokens <= 0:
+    if tokens <= 0:
         raise CommandError("tokens must be a whole number above 0")
     record = ToppedUp(
         kind="topped_up",
@@ -83,6 +84,24 @@
     return await locator.get(shard, "/keeper/budgets", query, BudgetsReply)
 
 
+def print_budgets(reply: BudgetsReply) -> str:
+    """Returns a customer's budgets as text for people."""
+    head = ("budget", "topped up", "billed", "held", "unsettled", "free", "")
+    rows = [
+        (
+            view["budget"],
+            view["topped_up"],
+            view["billed"],
+            view["held"],
+            view["unsettled"],
+            view["free"],
+            view.get("reason", ""),
+        )
+        for view in reply["budgets"]
+    ]
+    return table(head, rows) if rows else "no budgets"
+
+
 async def _stream_of(session: Session, customer: str) -> str:
     return shard_stream(shard_of(customer, await _shard_count(session)))
 
--- a/chicorystack/router/dispatcher.py
+++ b/chicorystack/router/dispatcher.py
@@ -14,6 +14,9 @@
 from chicorystack.router.attempts import Attempts
 from chicorystack.router.forwarder import NotDeliveredError
 
+# Names a request to operators, who ask `chicory-ctl explain` for its story.
+REQUEST_HEADER = b"chicory-request"
+
 
 class Dispatcher:
     """Serves calls of one router."""
@@ -74,6 +77,7 @@
             raise
 
     async def _serve_checked(self, request: server.Request, call: Call) -> None:
+        request.setHeader(REQUEST_HEADER, call.key.encode())
         started = self._clock.seconds()
         try:
             reservation = await self._admission.reserve(call)
--- a/chicorystack/router/main.py
+++ b/chicorystack/router/main.py
@@ -33,7 +33,8 @@
 from chicorystack.router.forwarder import Forwarder
 from chicorystack.router.resources import caller_tree
 from chicorystack.routing.targets import TargetTable
-from chicorystack.settings.loader import run_program, settings_command
+from chicorystack.settings.command_line import run_program
+from chicorystack.settings.loader import settings_command
 from chicorystack.settings.types import RouterSettings
 from chicorystack.web.client import JsonClient
 from chicorystack.web.server import (
--- a/chicorystack/settings/loader.py
+++ b/chicorystack/settings/loader.py
@@ -5,28 +5,36 @@
 before the default.
 """
 
+import functools
 import inspect
 import os
-import sys
 from collections.abc import Callable, Mapping
 from typing import TypeVar, get_type_hints
 
-import fire
 import msgspec
+from fire.decorators import SetParseFn
 
-from chicorystack import __version__
 from chicorystack.errors import UserError
+from chicorystack.settings import types
+from chicorystack.settings.command_line import Action
 
 ENVIRONMENT_PREFIX = "CHICORY_"
-EXIT_USER_ERROR = 2
-# Flags without a value; fire would take the next word for their value.
-SWITCHES = ("--json", "--check", "--version")
 
 SettingsT = TypeVar("SettingsT")
 
 
 class SettingsError(UserError):
-    """A setting is missing or has the wrong type."""
+    """A setting is missing, unknown or has the wrong type."""
+
+
+class _Required:
+    """Stands in help texts for the default of a setting that has none."""
+
+    def __repr__(self) -> str:
+        return "required"
+
+
+REQUIRED = _Required()
 
 
 def load_settings(
@@ -37,9 +45,11 @@
     """Returns checked settings.
 
     Raises:
-        SettingsError: If a value is missing or of the wrong type.
+        SettingsError: If a value is missing or of the wrong type, or if a
+            variable with the common prefix is no setting of any program.
     """
-    hints = get_type_hints(settings_type)
+    _check_variables(environ)
+    hints = get_type_hints(settings_type, include_extras=True)
     defaults = settings_type._field_defaults
     values = []
     for name in settings_type._fields:
@@ -53,58 +63,75 @@
             continue
         else:
             raise SettingsError(f"--{name} (or {variable}) is required")
-        values.append(_convert(raw, hints[name], source))
+        values.append(_convert(name, raw, hints[name], source))
     return settings_type(*values)
 
 
-def _convert(raw: str, kind: type, source: str) -> object:
+def _check_variables(environ: Mapping[str, str]) -> None:
+    known = {
+        ENVIRONMENT_PREFIX + name.upper()
+        for settings_type in types.SETTINGS_TYPES
+        for name in settings_type._fields
+    }
+    for variable in sorted(environ):
+        if variable.startswith(ENVIRONMENT_PREFIX) and variable not in known:
+            raise SettingsError(f"unknown environment variable {variable}")
+
+
+def _convert(name: str, raw: str, kind: type, source: str) -> object:
     try:
-        return msgspec.convert(raw, kind, strict=False)
+        return types.convert(raw, kind)
     except msgspec.ValidationError as error:
-        raise SettingsError(f"{source}: {error}; got '{raw}'") from error
+        expected = types.describe(kind) or str(error)
+        shown = "a secret" if name in types.SECRET_FIELDS else f"'{raw}'"
+        raise SettingsError(f"{source}: {expected}; got {shown}") from error
 
 
 def settings_command(
     settings_type: type[SettingsT], run: Callable[[SettingsT], None]
-) -> Callable[..., None]:
-    """Returns a function for fire that has each setting as a flag.
+) -> Callable[..., Action]:
+    """Returns a function for fire that has each setting as a flag."""
 
-    Two more flags exist: `--version` prints the version, and `--check` reads
-    the settings, says whether they are right, and starts nothing.
-    """
+    def command(**flags: object) -> Action:
+        def load() -> SettingsT:
+            return load_settings(settings_type, flags, os.environ)
 
-    def command(**flags: object) -> None:
-        if flags.pop("version", None):
-            print(__version__)
-            return
-        check_only = flags.pop("check", None)
-        settings = load_settings(settings_type, flags, os.environ)
-        if check_only:
-            print("settings are right")
-            return
-        run(settings)
+        return Action(check=load, run=lambda: run(load()))
 
+    hints = get_type_hints(settings_type)
+    defaults = settings_type._field_defaults
     parameters = [
-        inspect.Parameter(name, inspect.Parameter.KEYWORD_ONLY, default=None)
-        for name in (*settings_type._fields, "check", "version")
+        inspect.Parameter(
+            name,
+            inspect.Parameter.KEYWORD_ONLY,
+            default=defaults.get(name, REQUIRED),
+            annotation=hints[name],
+        )
+        for name in settings_type._fields
     ]
     command.__signature__ = inspect.Signature(parameters)
     command.__doc__ = inspect.getdoc(settings_type)
-    return command
+    return SetParseFn(str)(command)
 
 
-def run_program(component: object, name: str) -> None:
-    """Runs a fire command line; user errors become one line and exit code 2."""
-    arguments = [
-        f"{word}=True" if word in SWITCHES else word for word in sys.argv[1:]
-    ]
-    os.environ.setdefault("PAGER", "cat")
-    try:
-        fire.Fire(component, command=arguments, name=name)
-    except UserError as error:
-        raise SystemExit(_report(name, error)) from None
+def typed_command(function: Callable[..., Action]) -> Callable[..., Action]:
+    """Makes a method a command whose arguments are checked by their types.
 
+    Without it fire guesses types from the values: `1e3` becomes a float, a
+    customer's key `007` a number.
+    """
+    hints = get_type_hints(function, include_extras=True)
+    signature = inspect.signature(function)
+
+    @SetParseFn(str)
+    @functools.wraps(function)
+    def command(*words: object, **flags: object) -> Action:
+        bound = signature.bind(*words, **flags)
+        for name, raw in bound.arguments.items():
+            # What is no text is the argument's own default.
+            if isinstance(raw, str):
+                value = _convert(name, raw, hints[name], name)
+                bound.arguments[name] = value
+        return function(*bound.args, **bound.kwargs)
 
-def _report(name: str, error: UserError) -> int:
-    print(f"{name}: {error}", file=sys.stderr)
-    return EXIT_USER_ERROR
+    return command
--- a/chicorystack/standin/main.py
+++ b/chicorystack/standin/main.py
@@ -2,9 +2,11 @@
 
 from twisted.internet import reactor
 
-from chicorystack import __version__, defaults
+from chicorystack import defaults
 from chicorystack.observe.logs import part_logger, setup_logs
-from chicorystack.settings.loader import run_program
+from chicorystack.settings.command_line import Action, run_program
+from chicorystack.settings.loader import typed_command
+from chicorystack.settings.types import Port
 from chicorystack.standin.engine import Engine, engine_tree
 from chicorystack.standin.log_service import LogService, log_service_tree
 from chicorystack.standin.plain_service import (
@@ -20,33 +22,40 @@
 class Standins:
     """Small stand-ins for the platform and for targets, for development."""
 
+    @typed_command
     def log(
-        self, port: int, retention_s: float = defaults.LOG_RETENTION_S
-    ) -> None:
+        self, port: Port, retention_s: float = defaults.LOG_RETENTION_S
+    ) -> Action:
         """Serves the log service.
 
         Args:
             port: TCP port.
             retention_s: How long records are kept, in seconds.
         """
-        _serve("log", log_service_tree(LogService(reactor, retention_s)), port)
+        return _serve(
+            "log", log_service_tree(LogService(reactor, retention_s)), port
+        )
 
-    def vm_list(self, port: int, lag_s: float = 0.0) -> None:
+    @typed_command
+    def vm_list(self, port: Port, lag_s: float = 0.0) -> Action:
         """Serves the list of VMs.
 
         Args:
             port: TCP port.
             lag_s: How late changes show, in seconds.
         """
-        _serve("vm-list", vm_list_tree(VmListService(reactor, lag_s)), port)
+        return _serve(
+            "vm-list", vm_list_tree(VmListService(reactor, lag_s)), port
+        )
 
+    @typed_command
     def engine(
         self,
-        port: int,
+        port: Port,
         slots: int = 16,
         first_token_s: float = 0.05,
         gap_s: float = 0.01,
-    ) -> None:
+    ) -> Action:
         """Serves a model engine.
 
         Args:
@@ -56,9 +65,10 @@
             gap_s: Time between tokens, in seconds.
         """
         engine = Engine(reactor, slots, first_token_s, gap_s)
-        _serve("engine", engine_tree(engine), port)
+        return _serve("engine", engine_tree(engine), port)
 
-    def service(self, port: int, work_s: float = 0.01) -> None:
+    @typed_command
+    def service(self, port: Port, work_s: float = 0.01) -> Action:
         """Serves a plain service.
 
         Args:
@@ -66,18 +76,17 @@
             work_s: Time that a call takes, in seconds.
         """
         service = PlainService(reactor, work_s)
-        _serve("service", plain_service_tree(service), port)
+        return _serve("service", plain_service_tree(service), port)
 
-    def version(self) -> str:
-        """Returns the version."""
-        return __version__
 
+def _serve(kind: str, root: Tree, port: int) -> Action:
+    def run() -> None:
+        setup_logs(f"{kind}-{port}", "INFO")
+        listen(reactor, root, defaults.LOOPBACK, port)
+        log.info("stand-in {} listens on port {}", kind, port)
+        reactor.run()
 
-def _serve(kind: str, root: Tree, port: int) -> None:
-    setup_logs(f"{kind}-{port}", "INFO")
-    listen(reactor, root, defaults.LOOPBACK, port)
-    log.info("stand-in {} listens on port {}", kind, port)
-    reactor.run()
+    return Action(check=lambda: None, run=run)
 
 
 def main() -> None:
--- a/chicorystack/web/server.py
+++ b/chicorystack/web/server.py
@@ -6,12 +6,12 @@
 from typing import Generic, Protocol, TypeVar
 
 import msgspec
-from twisted.internet import defer
+from twisted.internet import defer, error
 from twisted.internet.interfaces import IReactorTCP
 from twisted.web import http, resource, server
 
 from chicorystack import defaults
-from chicorystack.errors import ApiError
+from chicorystack.errors import ApiError, UserError
 from chicorystack.observe.logs import part_logger
 
 log = part_logger("web")
@@ -21,6 +21,10 @@
 FLEET_TOKEN_HEADER = "chicory-fleet-token"
 
 
+class ListenError(UserError):
+    """The address or port is not to be had."""
+
+
 class LimitedRequest(server.Request):
     """A request whose body may not exceed the fixed limit.
 
@@ -63,7 +67,12 @@
     site = server.Site(root, timeout=defaults.HTTP_IDLE_TIMEOUT_S)
     site.requestFactory = LimitedRequest
     site.noisy = False
-    return reactor.listenTCP(port, site, interface=address, backlog=512)
+    try:
+        return reactor.listenTCP(port, site, interface=address, backlog=512)
+    except error.CannotListenError as failure:
+        raise ListenError(
+            f"can't listen on {address}:{port}: {failure.socketError}"
+        ) from failure
 
 
 def header(request: server.Request, name: str) -> str | None:
@@ -84,12 +93,12 @@
     request.finish()
 
 
-def send_error(request: server.Request, error: ApiError) -> None:
+def send_error(request: server.Request, refusal: ApiError) -> None:
     """Answers with a typed refusal and, where it helps, Retry-After."""
-    if error.retry_after_ms is not None:
-        seconds = max(1, -(-error.retry_after_ms // 1000))
+    if refusal.retry_after_ms is not None:
+        seconds = max(1, -(-refusal.retry_after_ms // 1000))
         request.setHeader(b"retry-after", str(seconds).encode())
-    send_json(request, error.status, error.reply())
+    send_json(request, refusal.status, refusal.reply())
 
 
 def read_body(request: server.Request, body_type: type[BodyT]) -> BodyT:
@@ -101,8 +110,8 @@
     request.content.seek(0)
     try:
         return msgspec.json.decode(request.content.read(), type=body_type)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        raise ApiError("bad_request", f"body: {error}", "rejected") from error
+    except (msgspec.DecodeError, UnicodeDecodeError) as cause:
+        raise ApiError("bad_request", f"body: {cause}", "rejected") from cause
 
 
 def run_handler(request: server.Request, coroutine: Awaitable[object]) -> int:
@@ -198,8 +207,8 @@
     }
     try:
         return msgspec.convert(fields, body_type, strict=False)
-    except msgspec.ValidationError as error:
-        raise ApiError("bad_request", f"query: {error}", "rejected") from error
+    except msgspec.ValidationError as cause:
+        raise ApiError("bad_request", f"query: {cause}", "rejected") from cause
 
 
 class NotFound(resource.Resource):
--- a/tests/settings/test_loader.py
+++ b/tests/settings/test_loader.py
@@ -5,7 +5,12 @@
 from chicorystack.settings.loader import SettingsError, load_settings
 from chicorystack.settings.types import CtlSettings, RouterSettings
 
-NEEDED = {name: "x" for name in CtlSettings._fields}
+NEEDED = {
+    "log_url": "http://127.0.0.1:1",
+    "vm_list_url": "http://127.0.0.1:2/vms",
+    "fleet_token": "a-fleet-token",
+    "operator": "x",
+}
 
 
 def test_flag_goes_before_environment():
@@ -22,6 +27,35 @@
 
 def test_wrong_type_names_its_source():
     flags = {"name": "r", "site": "s", "data_centre": "d"}
-    flags |= {"log_url": "u", "vm_list_url": "v", "fleet_token": "t"}
+    flags |= NEEDED
     with pytest.raises(SettingsError, match="variable CHICORY_PORT"):
         load_settings(RouterSettings, flags, {"CHICORY_PORT": "many"})
+
+
+@pytest.mark.parametrize(
+    ("flag", "value", "expected"),
+    [
+        ("log_url", "127.0.0.1:1", "URL"),
+        ("log_url", "http://127.0.0.1:1\n", "URL"),
+        ("port", "70000", "TCP port"),
+        ("address", "localhost", "IP address"),
+        ("name", "Router 1", "name"),
+        ("log_level", "LOUD", "one of TRACE"),
+        ("statsd", "127.0.0.1", "IP:port"),
+    ],
+)
+def test_wrong_value_says_what_is_expected(flag, value, expected):
+    flags = {"name": "r", "site": "s", "data_centre": "d"} | NEEDED
+    with pytest.raises(SettingsError, match=f"--{flag}: .*{expected}.*; got"):
+        load_settings(RouterSettings, flags | {flag: value}, {})
+
+
+def test_wrong_secret_is_not_repeated():
+    with pytest.raises(SettingsError) as caught:
+        load_settings(CtlSettings, NEEDED | {"fleet_token": "hunter2"}, {})
+    assert "hunter2" not in str(caught.value)
+
+
+def test_misspelt_variable_is_refused():
+    with pytest.raises(SettingsError, match="unknown .* CHICORY_OPERATR"):
+        load_settings(CtlSettings, NEEDED, {"CHICORY_OPERATR": "b"})
