--- a/chicorystack/observe/logs.py
+++ b/chicorystack/observe/logs.py
@@ -1,8 +1,10 @@
 """Structured logs: one short sentence each, with the part's fixed prefix."""
 
 import sys
+from typing import TextIO
 
 from loguru import logger
+from twisted.logger import LogLevel, formatEvent, globalLogBeginner
 
 LINE_FORMAT = (
     "{time:YYYY-MM-DDTHH:mm:ss.SSSZ} {level: <7} "
@@ -10,11 +12,39 @@
 )
 
 
-def setup_logs(process: str, level: str) -> None:
-    """Sends log lines to standard error with the process's name in each."""
+def setup_logs(process: str, level: str, stream: TextIO | None = None) -> None:
+    """Sends log lines with the process's name in each to a stream.
+
+    Args:
+        process: Name of this process.
+        level: Least severe level that is logged.
+        stream: Where lines go; standard error if left out.
+    """
     logger.remove()
     logger.configure(extra={"process": process, "part": "main"})
-    logger.add(sys.stderr, level=level, format=format_record, backtrace=False)
+    # With `diagnose`, tracebacks would show the values of variables, and so
+    # callers' secret keys.
+    logger.add(
+        stream or sys.stderr,
+        level=level,
+        format=format_record,
+        backtrace=False,
+        diagnose=False,
+    )
+    globalLogBeginner.beginLoggingTo(
+        [log_twisted_event], redirectStandardIO=False, discardBuffer=True
+    )
+
+
+def log_twisted_event(event) -> None:
+    """Logs twisted's own errors, unhandled failures among them."""
+    if event["log_level"] < LogLevel.error:
+        return
+    failure = event.get("log_failure")
+    error = None if failure is None else failure.value
+    part_logger("twisted").opt(exception=error).error(
+        "{}", formatEvent(event) or "an error was not handled"
+    )
 
 
 def format_record(record) -> str:
