--- a/chicorystack/ctl/fleet.py
+++ b/chicorystack/ctl/fleet.py
@@ -7,7 +7,7 @@
 from twisted.internet import defer
 
 from chicorystack.budget.messages import shard_stream
-from chicorystack.config.store import CONFIG_SUBJECT
+from chicorystack.config.messages import CONFIG_STREAM
 from chicorystack.ctl.session import Session
 from chicorystack.ctl.tables import table, time_text
 from chicorystack.errors import ApiError
@@ -202,7 +202,7 @@
         customer: Name of the customer; may be empty.
     """
     request = key_hash(customer, key) if customer else key
-    subjects = [request, CONFIG_SUBJECT]
+    subjects = [request, CONFIG_STREAM]
     if customer:
         store = await session.read_config()
         shard = shard_of(customer, store.config.shard_count)
--- a/chicorystack/settings/loader.py
+++ b/chicorystack/settings/loader.py
@@ -5,6 +5,7 @@
 before the default.
 """
 
+import difflib
 import functools
 import inspect
 import os
@@ -19,6 +20,8 @@
 from chicorystack.settings.command_line import Action
 
 ENVIRONMENT_PREFIX = "CHICORY_"
+# How alike two names are where one is taken for a slip, from 0 to 1.
+MISSPELT_RATIO = 0.7
 
 SettingsT = TypeVar("SettingsT")
 
@@ -46,7 +49,7 @@
 
     Raises:
         SettingsError: If a value is missing or of the wrong type, or if a
-            variable with the common prefix is no setting of any program.
+            variable looks like a setting misspelt.
     """
     _check_variables(environ)
     hints = get_type_hints(settings_type, include_extras=True)
@@ -68,14 +71,24 @@
 
 
 def _check_variables(environ: Mapping[str, str]) -> None:
+    """Refuses variables that look like misspelt settings.
+
+    Others with the prefix pass: platforms set some of their own.
+    """
     known = {
-        ENVIRONMENT_PREFIX + name.upper()
+        name.upper()
         for settings_type in types.SETTINGS_TYPES
         for name in settings_type._fields
     }
     for variable in sorted(environ):
-        if variable.startswith(ENVIRONMENT_PREFIX) and variable not in known:
-            raise SettingsError(f"unknown environment variable {variable}")
+        name = variable.removeprefix(ENVIRONMENT_PREFIX)
+        if name == variable or name in known:
+            continue
+        for meant in difflib.get_close_matches(name, known, 1, MISSPELT_RATIO):
+            raise SettingsError(
+                f"unknown environment variable {variable}; "
+                f"did you mean {ENVIRONMENT_PREFIX}{meant}?"
+            )
 
 
 def _convert(name: str, raw: str, kind: type, source: str) -> object:
--- a/chicorystack/settings/types.py
+++ b/chicorystack/settings/types.py
@@ -96,6 +96,7 @@
         address: IP address to listen on and to be reached at.
         port: TCP port for callers.
         control_port: TCP port for the fleet and operators.
+        log_retention_s: How long the log service keeps records, in seconds.
         statsd: IP:port of the statsd server; empty for none.
         log_level: Least severe level that is logged.
     """
@@ -109,6 +110,7 @@
     address: IpAddress = defaults.LOOPBACK
     port: Port = 7100
     control_port: Port = 7101
+    log_retention_s: float = defaults.LOG_RETENTION_S
     statsd: Statsd = ""
     log_level: LogLevel = "INFO"
 
