--- a/chicorystack/config/fold.py
+++ b/chicorystack/config/fold.py
@@ -11,12 +11,15 @@
 
 from chicorystack import defaults
 from chicorystack.config.messages import (
+    CONFIG_STREAM,
     ConfigKept,
     ConfigRecord,
     decode_record,
 )
+from chicorystack.observe.decisions import decisions
 from chicorystack.observe.invariants import require
 from chicorystack.observe.logs import part_logger
+from chicorystack.observe.metrics import metrics
 from chicorystack.platform.messages import LogEntry
 
 log = part_logger("config")
@@ -103,6 +106,8 @@
                 record["replaces"],
                 self.version,
             )
+            if record["id"] not in self._id_by_version.values():
+                _record_loser(record, self.version)
             return False
         self._accept(Publication(self.version + 1, offset, record))
         return True
@@ -142,3 +147,13 @@
         self._id_by_version[publication.version] = publication.record["id"]
         while len(self._id_by_version) > defaults.CONFIG_WINNERS_KEPT:
             del self._id_by_version[next(iter(self._id_by_version))]
+
+
+def _record_loser(record: ConfigRecord, in_force: int) -> None:
+    metrics.count("config.lost")
+    decisions.record_notable(
+        CONFIG_STREAM,
+        "config",
+        f"publication {record['id']} lost",
+        f"it replaces version {record['replaces']}, but {in_force} is in force",
+    )
--- a/chicorystack/config/store.py
+++ b/chicorystack/config/store.py
@@ -3,10 +3,12 @@
 from collections.abc import Callable
 
 from chicorystack.config.fold import ConfigFold, Publication
-from chicorystack.config.messages import ConfigInForce
+from chicorystack.config.messages import CONFIG_STREAM, ConfigInForce
 from chicorystack.config.model import FleetConfig, build_config
+from chicorystack.observe.decisions import decisions
 from chicorystack.observe.invariants import require
 from chicorystack.observe.logs import part_logger
+from chicorystack.observe.metrics import metrics
 from chicorystack.platform.messages import LogEntry
 
 log = part_logger("config")
@@ -97,5 +99,12 @@
         self._in_force = told
         self.config = build_config(told["config"], told["version"])
         log.info("configuration {} is in force", self.config.version)
+        metrics.count("config.entered")
+        decisions.record_notable(
+            CONFIG_STREAM,
+            "config",
+            f"version {told['version']} in force",
+            f"record at offset {told['offset']}",
+        )
         for listener in self._listeners:
             listener(self.config)
