--- a/chicorystack/agent/main.py
+++ b/chicorystack/agent/main.py
@@ -14,9 +14,17 @@
 from chicorystack.config.store import ConfigStore
 from chicorystack.errors import ApiError
 from chicorystack.lifecycle import run_until_stopped
+from chicorystack.observe.endpoints import (
+    ProcessStatus,
+    Readiness,
+    make_status,
+    put_observe_endpoints,
+)
 from chicorystack.observe.logs import part_logger, setup_logs
+from chicorystack.observe.metrics import start_metrics
 from chicorystack.platform.vm_list import VmListPoller
-from chicorystack.settings.loader import run_program, settings_command
+from chicorystack.settings.command_line import run_program
+from chicorystack.settings.loader import settings_command
 from chicorystack.settings.types import AgentSettings
 from chicorystack.web.client import (
     JsonClient,
@@ -62,6 +70,7 @@
         root = Tree()
         root.put("run", self._gate)
         root.put("load", JsonEndpoint(Empty, self._gate.load, authorize))
+        put_observe_endpoints(root, authorize, self._readiness, self._status)
         self._port = listen(reactor, root, settings.address, settings.port)
 
     def start(self) -> None:
@@ -91,6 +100,23 @@
             vm is not None and vm["state"] == "leaving"
         )
 
+    def _readiness(self) -> Readiness:
+        version = self._store.config.version
+        readiness = Readiness(ready=True, config_version=version)
+        if self._gate.draining:
+            readiness |= {"ready": False, "reason": "draining"}
+        elif version == 0:
+            readiness |= {"ready": False, "reason": "no configuration yet"}
+        return readiness
+
+    def _status(self) -> ProcessStatus:
+        return make_status(
+            self._settings.name,
+            "agent",
+            self._readiness(),
+            self._gate.in_flight,
+        )
+
     def _peer_urls(self) -> list[str]:
         vms = list(self._vm_list.vm_by_name.values())
         return config_peers(
@@ -112,6 +138,7 @@
 def run(settings: AgentSettings) -> None:
     """Runs an agent until it is told to stop."""
     setup_logs(settings.name, settings.log_level)
+    start_metrics(reactor, settings.statsd, settings.name)
     process = AgentProcess(settings)
     process.start()
     run_until_stopped(reactor, process.drain)
--- a/chicorystack/router/main.py
+++ b/chicorystack/router/main.py
@@ -1,7 +1,5 @@
 """Starts a router: settings, followers, interfaces, orderly stop."""
 
-from typing import TypedDict
-
 from twisted.internet import reactor, task
 
 from chicorystack import defaults
@@ -16,7 +14,15 @@
 from chicorystack.membership.presence import Presence
 from chicorystack.membership.reports import ReportPoller
 from chicorystack.membership.routers import LiveRouters, RouterLeaving
+from chicorystack.observe.endpoints import (
+    ProcessStatus,
+    Readiness,
+    TargetStatus,
+    make_status,
+    put_observe_endpoints,
+)
 from chicorystack.observe.logs import part_logger, setup_logs
+from chicorystack.observe.metrics import start_metrics
 from chicorystack.platform.log_client import LogClient
 from chicorystack.platform.messages import Vm
 from chicorystack.platform.vm_list import VmListPoller
@@ -32,7 +38,8 @@
 from chicorystack.router.forwarder import Forwarder
 from chicorystack.router.resources import caller_tree
 from chicorystack.routing.targets import TargetTable
-from chicorystack.settings.loader import run_program, settings_command
+from chicorystack.settings.command_line import run_program
+from chicorystack.settings.loader import settings_command
 from chicorystack.settings.types import RouterSettings
 from chicorystack.web.client import JsonClient
 from chicorystack.web.server import (
@@ -40,24 +47,11 @@
     Tree,
     fleet_authorizer,
     listen,
-    open_to_all,
 )
 
 log = part_logger("router")
 
 
-class Readiness(TypedDict):
-    """Whether a router can serve calls.
-
-    Attributes:
-        ready: Whether it has a configuration and the VM list, and stays.
-        config_version: Version in force here.
-    """
-
-    ready: bool
-    config_version: int
-
-
 class RouterProcess:
     """One router with all its parts."""
 
@@ -160,8 +154,7 @@
         authorize = fleet_authorizer(self._settings.fleet_token)
         keeper = self._keeper
         root = Tree()
-        root.put("healthz", JsonEndpoint(Empty, self._health, open_to_all))
-        root.put("readyz", JsonEndpoint(Empty, self._readiness, open_to_all))
+        put_observe_endpoints(root, authorize, self._readiness, self._status)
         endpoints = [
             ("config", ConfigQuery, self._answer_config),
             ("leaving", RouterLeaving, self._note_leaving),
@@ -173,18 +166,36 @@
             root.put(path, JsonEndpoint(message_type, handler, authorize))
         return root
 
-    async def _health(self, _message: Empty) -> Empty:
-        return Empty()
-
-    async def _readiness(self, _message: Empty) -> Readiness:
+    def _readiness(self) -> Readiness:
         version = self._store.config.version
-        ready = (
-            version > 0
-            and self._vm_list.loaded
-            and self._reports.settled
-            and not self._drain.begun
+        readiness = Readiness(ready=True, config_version=version)
+        if self._drain.begun:
+            readiness |= {"ready": False, "reason": "draining"}
+        elif version == 0:
+            readiness |= {"ready": False, "reason": "no configuration yet"}
+        elif not self._vm_list.loaded:
+            readiness |= {"ready": False, "reason": "no VM list yet"}
+        elif not self._reports.settled:
+            readiness |= {"ready": False, "reason": "agents not asked yet"}
+        return readiness
+
+    def _status(self) -> ProcessStatus:
+        status = make_status(
+            self._settings.name,
+            "router",
+            self._readiness(),
+            self._dispatcher.in_flight,
         )
-        return Readiness(ready=ready, config_version=version)
+        status["epoch_by_shard"] = self._keeper.epoch_by_shard()
+        status["targets"] = [
+            TargetStatus(
+                target=target.name,
+                leaving=not self._targets.takes_work(target.name),
+                in_flight=target.sent,
+            )
+            for target in self._targets.target_by_name.values()
+        ]
+        return status
 
     async def _answer_config(self, query: ConfigQuery) -> ConfigInForce:
         return self._store.in_force(query.get("known", 0))
@@ -217,6 +228,7 @@
 def run(settings: RouterSettings) -> None:
     """Runs a router until it is told to stop."""
     setup_logs(settings.name, settings.log_level)
+    start_metrics(reactor, settings.statsd, settings.name)
     process = RouterProcess(settings)
     process.start()
     run_until_stopped(reactor, process.drain)
--- a/chicorystack/routing/targets.py
+++ b/chicorystack/routing/targets.py
@@ -81,6 +81,10 @@
         """Tells whether any target of a service takes work."""
         return any(map(self._presence.takes_work, service.target_by_name))
 
+    def takes_work(self, name: str) -> bool:
+        """Tells whether a target may be sent new work now."""
+        return self._presence.takes_work(name)
+
     def note_refused(self, name: str, asked_at: float) -> None:
         """Notes that a target's agent refused new work."""
         self._presence.take_word(name, False, asked_at)
--- a/tests/integration/test_fleet_stop.py
+++ b/tests/integration/test_fleet_stop.py
@@ -2,12 +2,20 @@
 
 import contextlib
 import http.client
+import json
 import signal
+import threading
 import time
 
 import pytest
 
-from bench.fleet import STOP_TIMEOUT_S, running_fleet, send, wait_until
+from bench.fleet import (
+    FLEET_TOKEN,
+    STOP_TIMEOUT_S,
+    running_fleet,
+    send,
+    wait_until,
+)
 from tests.conftest import EXAMPLES
 from tests.support.steady_calls import SteadyCalls
 
@@ -69,6 +77,33 @@
     send(target.port, "POST", "/faults", faults)
 
 
+def run_slow_call(fleet, target):
+    """Gives an agent a call whose first token takes six seconds."""
+    order_slowdown(target, 120.0)
+    call = {
+        "site": SITE,
+        "service": target.service,
+        "operation": "summary",
+        "customer": "alpha",
+        "key": "slow",
+        "repeatable": True,
+        "shard": 0,
+        "epoch": 1,
+        "use": "slow:1",
+        "reserved": 9,
+        "cost_tokens": 0,
+        "max_tokens": 1,
+        "priority": "normal",
+        "timeout_ms": 30_000,
+    }
+    headers = {
+        "chicory-fleet-token": FLEET_TOKEN,
+        "chicory-call": json.dumps(call),
+    }
+    message = {"prompt": "slow", "max_tokens": 1}
+    send(target.agent_port, "POST", "/run", message, headers)
+
+
 def takes_work(fleet, name):
     """Tells whether an engine's runs rise within half a second."""
     port = fleet.target_by_name[name].port
@@ -99,12 +134,15 @@
     name = "fault-model-2"
     target = stop_fleet.target_by_name[name]
     late_arrivals, drained_s = 0, 0.0
+    slow = threading.Thread(target=run_slow_call, args=(stop_fleet, target))
+    slow.start()
+    wait_until(
+        "the slow call has begun",
+        lambda: stop_fleet.control(target.agent_port, "/load")["in_flight"],
+    )
+    order_slowdown(target, 1.0)
     with calls(stop_fleet, key) as load:
         wait_until("it takes work", lambda: takes_work(stop_fleet, name))
-        # A few calls that begin now keep the agent for seconds.
-        order_slowdown(target, 120.0)
-        time.sleep(0.3)
-        order_slowdown(target, 1.0)
         began = time.monotonic()
         stop_fleet.signal(name, signal.SIGTERM)
         while stop_fleet.process_by_name[name].poll() is None:
@@ -114,6 +152,7 @@
                 late_arrivals = report["late_arrivals"]
                 drained_s = time.monotonic() - began
             time.sleep(0.05)
+    slow.join()
     assert drained_s > LEAVE_KNOWN_BY_ALL_S
     assert late_arrivals == 0
     assert load.failed() == []
