Quarantine content that crashes its targets; clear the innocent ones

Cause: a call whose content crashes engines was tried on three engines, and on three more each time that its caller sent it again.

Change: an agent that loses a call asks its target's port by a connection of its own; where it refuses, each content that ran gets a strike. Strikes go to the router with the agent's report, which it asks for before it tries again, from there to the site's routers, and to agents with each call. A content with a strike goes to one target, the same for all routers, and never two suspects run together; completing clears. Three strikes: refused at once with when to come back. A dead target is reported as not ready.

--- a/chicorystack/agent/gate.py
+++ b/chicorystack/agent/gate.py
@@ -20,6 +20,7 @@
 from chicorystack.errors import ApiError
 from chicorystack.observe.decisions import decisions
 from chicorystack.observe.metrics import metrics
+from chicorystack.quarantine.watch import DeathWatch
 from chicorystack.settings.types import AgentSettings
 from chicorystack.web.server import Authorizer, header, run_handler
 
@@ -44,6 +45,7 @@
         authorize: Authorizer,
         note_version: Callable[[int], None],
         leaving: LeavingState,
+        watch: DeathWatch,
     ):
         super().__init__()
         self._settings = settings
@@ -53,6 +55,7 @@
         self._authorize = authorize
         self._note_version = note_version
         self.leaving = leaving
+        self._watch = watch
         self._reported = EngineLoad(running=0, queued=0)
 
     @property
@@ -73,13 +76,18 @@
         """Returns how busy the target is."""
         return LoadReport(
             target=self._settings.name,
-            ready=not self.draining and self._service() is not None,
+            ready=(
+                not self.draining
+                and not self._watch.target_down
+                and self._service() is not None
+            ),
             in_flight=self.in_flight,
             running=self._reported["running"],
             queued=self._reported["queued"],
             config_version=self._store.config.version,
             leaving=self.draining,
             late_arrivals=self.leaving.late_arrivals,
+            strikes=self._watch.strikes(),
         )
 
     def note_target_load(self, load: EngineLoad) -> None:
@@ -103,6 +111,7 @@
             raise
 
     async def _serve(self, request: server.Request, call: CallHeader) -> None:
+        self._watch.take_strikes(call.get("strikes", []))
         service = self._service()
         if service is None:
             raise ApiError("not_ready", "the agent has no configuration yet")
--- a/chicorystack/agent/main.py
+++ b/chicorystack/agent/main.py
@@ -23,6 +23,9 @@
 from chicorystack.observe.logs import part_logger, setup_logs
 from chicorystack.observe.metrics import start_metrics
 from chicorystack.platform.vm_list import VmListPoller
+from chicorystack.quarantine.probe import TargetProbe
+from chicorystack.quarantine.strikes import StrikeTable
+from chicorystack.quarantine.watch import DeathWatch, WatchedTarget
 from chicorystack.settings.command_line import run_program
 from chicorystack.settings.loader import settings_command
 from chicorystack.settings.types import AgentSettings
@@ -54,7 +57,16 @@
         self._config_peers = PeerPoller(
             reactor, self._client, self._store, self._peer_urls, lambda: True
         )
-        target = TargetClient(make_http_agent(reactor), settings.target_url)
+        self._watch = DeathWatch(
+            settings.name,
+            StrikeTable(reactor),
+            TargetProbe(reactor, settings.target_url),
+        )
+        target = WatchedTarget(
+            TargetClient(make_http_agent(reactor), settings.target_url),
+            self._watch,
+            settings.service,
+        )
         authorize = fleet_authorizer(settings.fleet_token)
         self._gate = Gate(
             settings,
@@ -64,6 +76,7 @@
             authorize,
             self._config_peers.note_version,
             LeavingState(reactor),
+            self._watch,
         )
         self._vm_list.on_change(self._review_vm_list)
         self._load_loop = task.LoopingCall(self._poll_target_load)
@@ -130,8 +143,13 @@
         url = f"{self._settings.target_url}/load"
         try:
             load = await self._client.get(url, EngineLoad)
-        except (UnreachableError, ApiError):
+        except UnreachableError as error:
+            if not error.sent:
+                self._watch.note_target(answers=False)
+            return
+        except ApiError:
             return
+        self._watch.note_target(answers=True)
         self._gate.note_target_load(load)
 
 
--- a/chicorystack/calls/messages.py
+++ b/chicorystack/calls/messages.py
@@ -3,6 +3,7 @@
 from typing import Literal, NotRequired, TypedDict
 
 from chicorystack.config.model import Priority
+from chicorystack.quarantine.strikes import StrikeMessage
 
 CALL_HEADER = "chicory-call"
 ANSWER_HEADER = "chicory-answer"
@@ -37,6 +38,7 @@
         timeout_ms: Time left to the caller's deadline; the receiver turns it
             into a deadline on its own clock at once.
         config_version: Configuration in force at the router.
+        strikes: Strikes of the call's content, as the router knows.
     """
 
     site: str
@@ -54,6 +56,7 @@
     priority: Priority
     timeout_ms: int
     config_version: NotRequired[int]
+    strikes: NotRequired[list[StrikeMessage]]
 
 
 class AnswerHeader(TypedDict):
@@ -97,6 +100,7 @@
         config_version: Configuration in force at the agent.
         leaving: Whether it takes no new calls any more.
         late_arrivals: New calls that came when routers should have known.
+        strikes: Contents that ran when a target died, as known here.
     """
 
     target: str
@@ -107,6 +111,7 @@
     config_version: int
     leaving: NotRequired[bool]
     late_arrivals: NotRequired[int]
+    strikes: NotRequired[list[StrikeMessage]]
 
 
 class Empty(TypedDict):
--- a/chicorystack/membership/reports.py
+++ b/chicorystack/membership/reports.py
@@ -67,6 +67,12 @@
             asking = defer.ensureDeferred(self._ask(name, url))
             asking.addErrback(_log_failure, name)
 
+    async def ask(self, name: str) -> None:
+        """Asks one agent now, whether or not it owes an answer."""
+        url = self._url_by_name().get(name)
+        if url is not None:
+            await self._ask(name, url)
+
     async def _ask(self, name: str, url: str) -> None:
         asked_at = self._reactor.seconds()
         try:
--- /dev/null
+++ b/chicorystack/quarantine/__init__.py
@@ -0,0 +1,1 @@
+"""Keeps a call that crashes targets from being run again and again."""
--- a/chicorystack/router/admission.py
+++ b/chicorystack/router/admission.py
@@ -13,6 +13,7 @@
 from chicorystack.config.model import FleetConfig, Operation, Service
 from chicorystack.errors import ApiError
 from chicorystack.membership.readiness import missing_dependency
+from chicorystack.quarantine.strikes import StrikeTable, content_hash
 from chicorystack.router.auth import CustomerDirectory
 from chicorystack.util import budget_id, key_hash, new_id, shard_of
 from chicorystack.web.server import header
@@ -38,6 +39,7 @@
         upper_bound: Most tokens that the call may use.
         deadline: Time on the reactor's clock when the caller gives up.
         config_version: Configuration that the call was checked by.
+        content: Short name of what is asked, whatever the key.
     """
 
     service: Service
@@ -52,6 +54,7 @@
     upper_bound: int
     deadline: float
     config_version: int
+    content: str
 
     def header(self, reservation: Reservation, now: float) -> CallHeader:
         """Returns the header that an agent needs."""
@@ -84,12 +87,14 @@
         customers: CustomerDirectory,
         budgets: BudgetClient,
         has_target: Callable[[Service], bool],
+        strikes: StrikeTable,
     ):
         self._clock = clock
         self._site = site
         self._customers = customers
         self._budgets = budgets
         self._has_target = has_target
+        self._strikes = strikes
 
     async def check(
         self,
@@ -115,6 +120,8 @@
         request.content.seek(0)
         body = request.content.read()
         max_tokens, bound = _token_bounds(service, operation, body)
+        content = _content(service, operation, body)
+        self._strikes.check(content, "rejected")
         budget = header(request, BUDGET_HEADER) or defaults.DEFAULT_BUDGET
         return Call(
             service=service,
@@ -129,6 +136,7 @@
             upper_bound=bound + operation.cost_tokens,
             deadline=received + _timeout_ms(request) / 1000,
             config_version=config.version,
+            content=content,
         )
 
     async def reserve(self, call: Call) -> Reservation:
@@ -204,6 +212,14 @@
     return min(int(text), defaults.MAX_CALL_TIMEOUT_MS)
 
 
+def _content(service: Service, operation: Operation, body: bytes) -> str:
+    if service.kind == "engine":
+        prompt = _decode(body, GenerateBody)["prompt"]
+        return content_hash(service.name, prompt)
+    text = body.decode("utf-8", "replace")
+    return content_hash(service.name, f"{operation.name}\0{text}")
+
+
 def _token_bounds(
     service: Service, operation: Operation, body: bytes
 ) -> tuple[int, int]:
--- a/chicorystack/router/attempts.py
+++ b/chicorystack/router/attempts.py
@@ -10,6 +10,7 @@
 from chicorystack.observe.decisions import decisions
 from chicorystack.observe.logs import part_logger
 from chicorystack.observe.metrics import metrics
+from chicorystack.quarantine.sentry import Sentry
 from chicorystack.router.admission import Call
 from chicorystack.router.forwarder import (
     Delivered,
@@ -39,10 +40,17 @@
 class Attempt:
     """One attempt at one target."""
 
-    def __init__(self, clock, targets: TargetTable, forwarder: Forwarder):
+    def __init__(
+        self,
+        clock,
+        targets: TargetTable,
+        forwarder: Forwarder,
+        sentry: Sentry,
+    ):
         self._clock = clock
         self._targets = targets
         self._forwarder = forwarder
+        self._sentry = sentry
 
     async def run(
         self,
@@ -51,8 +59,16 @@
         reservation: Reservation,
         target: TargetState,
     ) -> Delivered:
-        """Delivers the target's answer; raises NotDeliveredError."""
+        """Delivers the target's answer.
+
+        Raises:
+            NotDeliveredError: If there is none, or it broke off underway.
+            ApiError: `quarantined`.
+        """
+        self._sentry.strikes.check(call.content)
+        target = self._assign(call, target)
         header = call.header(reservation, self._clock.seconds())
+        header["strikes"] = self._sentry.strikes.messages(call.content)
         asked_at = self._clock.seconds()
         self._targets.note_sent(target.name, +1)
         metrics.count("attempts.sent")
@@ -69,12 +85,31 @@
             )
             if error.refusal and error.refusal.code == "draining":
                 self._targets.note_refused(target.name, asked_at)
+            if error.may_be_death:
+                await self._sentry.note_failure(target.name)
+                if not error.started:
+                    self._sentry.strikes.check(call.content)
             raise
         finally:
             self._targets.note_sent(target.name, -1)
         request.finish()
+        self._sentry.strikes.note_completed(call.content)
         return delivered
 
+    def _assign(self, call: Call, picked: TargetState) -> TargetState:
+        """Returns the picked target, or the one that must run a suspect."""
+        if not call.operation.repeatable:
+            return picked
+        names = call.service.target_by_name
+        usable = list(filter(self._targets.takes_work, names))
+        name = self._sentry.assign(call.content, usable)
+        if name is None:
+            return picked
+        decisions.record_notable(
+            call.key, "quarantine", f"suspect goes to {name}", call.content
+        )
+        return self._targets.target_by_name[name]
+
 
 class RepeatableAttempts:
     """Tries targets of a repeatable call until one gives the answer."""
--- a/chicorystack/router/forwarder.py
+++ b/chicorystack/router/forwarder.py
@@ -44,6 +44,11 @@
         self.started = started
         self.refusal = refusal
 
+    @property
+    def may_be_death(self) -> bool:
+        """Whether the target may have died over the call."""
+        return self.refusal is None or self.refusal.code == "target_failed"
+
 
 class Delivered(NamedTuple):
     """A whole answer has been given to the caller.
--- a/chicorystack/router/main.py
+++ b/chicorystack/router/main.py
@@ -8,6 +8,7 @@
 from chicorystack.budget.messages import CustomerQuery, Exchange
 from chicorystack.calls.messages import Empty, LoadReport
 from chicorystack.config.messages import ConfigInForce, ConfigQuery
+from chicorystack.config.peers import live_routers
 from chicorystack.config.source import RouterConfigSource
 from chicorystack.config.store import ConfigStore
 from chicorystack.lifecycle import run_until_stopped
@@ -26,6 +27,8 @@
 from chicorystack.platform.log_client import LogClient
 from chicorystack.platform.messages import Vm
 from chicorystack.platform.vm_list import VmListPoller
+from chicorystack.quarantine.sentry import Sentry
+from chicorystack.quarantine.strikes import StrikesMessage, StrikeTable
 from chicorystack.router.admission import Admission
 from chicorystack.router.attempts import (
     Attempt,
@@ -91,15 +94,23 @@
         )
         self._budgets = BudgetClient(reactor, locator)
         customers = CustomerDirectory(reactor, self._budgets)
+        strikes = StrikeTable(reactor)
+        self._sentry = Sentry(
+            self._client, strikes, self._reports, self._peer_urls
+        )
         admission = Admission(
             reactor,
             settings.site,
             customers,
             self._budgets,
             self._targets.has_target,
+            strikes,
         )
         attempt = Attempt(
-            reactor, self._targets, Forwarder(reactor, settings.fleet_token)
+            reactor,
+            self._targets,
+            Forwarder(reactor, settings.fleet_token),
+            self._sentry,
         )
         self._dispatcher = Dispatcher(
             reactor,
@@ -157,6 +168,7 @@
         put_observe_endpoints(root, authorize, self._readiness, self._status)
         endpoints = [
             ("config", ConfigQuery, self._answer_config),
+            ("strikes", StrikesMessage, self._sentry.handle_strikes),
             ("leaving", RouterLeaving, self._note_leaving),
             ("keeper/exchange", Exchange, keeper.handle_exchange),
             ("keeper/customer", CustomerQuery, keeper.handle_customer),
@@ -203,6 +215,15 @@
     def _vms(self) -> list[Vm]:
         return list(self._vm_list.vm_by_name.values())
 
+    def _peer_urls(self) -> list[str]:
+        """Returns control URLs of the site's other live routers."""
+        return [
+            f"http://{vm['address']}:{vm['port']}"
+            for vm in live_routers(self._vms())
+            if vm["site"] == self._settings.site
+            and vm["name"] != self._settings.name
+        ]
+
     async def _note_leaving(self, notice: RouterLeaving) -> Empty:
         self._routers.note_leaving(notice["name"])
         return Empty()
--- a/chicorystack/standin/engine.py
+++ b/chicorystack/standin/engine.py
@@ -1,5 +1,6 @@
 """Stand-in for a model engine: streams tokens, reports its load late."""
 
+import os
 from collections.abc import Iterator
 from typing import TypedDict
 
@@ -24,6 +25,9 @@
 )
 
 BYTES_PER_TOKEN = 4
+# A prompt with this text crashes each engine that runs it.
+CRASH_MARK = "CRASH-ENGINE"
+CRASH_EXIT_CODE = 70
 WORDS = ("panel", "zone", "loop", "detector", "reset", "silence", "check")
 encoder = msgspec.json.Encoder()
 
@@ -108,6 +112,8 @@
     ) -> None:
         request.setHeader(b"content-type", EVENT_STREAM.encode())
         await self._pause(self._first_token_s)
+        if CRASH_MARK in message["prompt"]:
+            os._exit(CRASH_EXIT_CODE)
         generated = message.get("resume_tokens", 0)
         for index, word in enumerate(generate_words(message)):
             if index < generated:
--- /dev/null
+++ b/tests/integration/test_fleet_quarantine.py
@@ -0,0 +1,68 @@
+"""A call that crashes engines loses few of them, and harms no other call."""
+
+import json
+
+import pytest
+
+from bench.fleet import running_fleet, send, wait_until
+from chicorystack.standin.engine import CRASH_MARK
+from tests.conftest import EXAMPLES
+from tests.support.steady_calls import SteadyCalls
+
+SITE = "dk-east"
+RESENDS = 12
+MOST_ENGINES_LOST = 3
+
+
+@pytest.fixture
+def crash_fleet(tmp_path):
+    """Two routers and six engines."""
+    example = EXAMPLES / "brandvagt.yaml"
+    with running_fleet(example, tmp_path) as fleet:
+        fleet.start_platform()
+        service = fleet.config.service(SITE, "fault-model")
+        for number in (1, 2):
+            fleet.start_router(f"router-{number}", SITE, f"{SITE}-{number}")
+        for number in range(1, 7):
+            fleet.start_target(service, f"fault-model-{number}")
+        fleet.ctl("publish", str(example))
+        fleet.wait_until_ready()
+        yield fleet
+
+
+def send_crashing(fleet, key, number):
+    """Sends the content with a new key through one router or the other."""
+    port = fleet.router_by_name[f"router-{1 + number % 2}"].port
+    message = {"prompt": f"{CRASH_MARK} zone 3", "max_tokens": 40}
+    headers = {
+        "Authorization": f"Bearer {key}",
+        "Idempotency-Key": f"again-{number}",
+    }
+    path = "/v1/services/fault-model/summary"
+    return send(port, "POST", path, message, headers)
+
+
+def engines_lost(fleet):
+    return sum(
+        process.poll() is not None
+        for name, process in fleet.process_by_name.items()
+        if name.endswith("-target")
+    )
+
+
+def test_content_that_crashes_engines_is_refused_at_once(crash_fleet):
+    key = crash_fleet.ctl("create_customer", "alpha")["key"]
+    crash_fleet.ctl("top_up", "alpha", "10000000")
+    path = "fault-model/summary"
+    message = {"prompt": "zone 3", "max_tokens": 40}
+    with SteadyCalls(crash_fleet, key, path, message) as load:
+        wait_until("calls are answered", lambda: len(load.answers) > 20)
+        replies = [send_crashing(crash_fleet, key, n) for n in range(RESENDS)]
+        answered = len(load.answers)
+        wait_until("calls go on", lambda: len(load.answers) > answered + 20)
+    assert engines_lost(crash_fleet) <= MOST_ENGINES_LOST
+    errors = [json.loads(reply.body)["error"] for reply in replies]
+    assert {error["code"] for error in errors} == {"quarantined"}
+    assert all(error["retry_after_ms"] > 0 for error in errors)
+    refused = [answer for answer in load.failed() if answer.status == 422]
+    assert refused == []
--- /dev/null
+++ b/tests/quarantine/test_quarantine_machine.py
@@ -0,0 +1,153 @@
+"""Random runs of one crashing content beside innocent ones."""
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+from twisted.internet import defer
+from twisted.internet.task import Clock
+
+from chicorystack import defaults
+from chicorystack.agent.target_client import TargetFailedError
+from chicorystack.errors import ApiError
+from chicorystack.quarantine.sentry import assign_suspect
+from chicorystack.quarantine.strikes import StrikeTable
+from chicorystack.quarantine.watch import DeathWatch
+
+TARGETS = 6
+ROUTERS = 2
+CRASHING = "crashing"
+routers = st.integers(0, ROUTERS - 1)
+picks = st.integers(0, TARGETS - 1)
+
+
+class FakeTarget:
+    """A target that dies when told to, with its agent's watch."""
+
+    def __init__(self, name, clock):
+        self.alive = True
+        self.strikes = StrikeTable(clock)
+        self.watch = DeathWatch(name, self.strikes, self)
+        self.running = []
+
+    async def answers(self):
+        return self.alive
+
+    def start(self, content):
+        run = defer.Deferred()
+        self.running.append((content, run))
+        return run
+
+    def die(self):
+        self.alive = False
+        running, self.running = self.running, []
+        for _, run in running:
+            run.errback(TargetFailedError("gone"))
+
+    def restart(self):
+        self.alive = True
+        self.watch.note_target(answers=True)
+
+
+class QuarantineMachine(RuleBasedStateMachine):
+    """Callers send what failed again, through either router."""
+
+    def __init__(self):
+        super().__init__()
+        self.clock = Clock()
+        self.targets = {
+            f"t{number}": FakeTarget(f"t{number}", self.clock)
+            for number in range(TARGETS)
+        }
+        self.routers = [StrikeTable(self.clock) for _ in range(ROUTERS)]
+        self.deaths = 0
+        self.innocents = 0
+        self.crash_sent_unaware = False
+        self.refused = []
+
+    def usable(self):
+        return [
+            name
+            for name, target in self.targets.items()
+            if not target.watch.target_down
+        ]
+
+    def send(self, content, router, pick):
+        strikes = self.routers[router]
+        try:
+            strikes.check(content)
+        except ApiError:
+            self.refused.append(content)
+            return
+        usable = self.usable()
+        if not usable:
+            return
+        name = assign_suspect(strikes, content, usable)
+        target = self.targets[name or usable[pick % len(usable)]]
+        target.watch.take_strikes(strikes.messages(content))
+        running = defer.ensureDeferred(
+            target.watch.run(content, lambda: target.start(content))
+        )
+        running.addErrback(self.note_failure, target, content, router, pick)
+
+    def note_failure(self, failure, target, content, router, pick):
+        failure.trap(TargetFailedError, ApiError)
+        if failure.check(ApiError):
+            self.refused.append(content)
+            return
+        for strikes in self.routers:
+            strikes.merge(target.strikes.messages())
+        if content != CRASHING:
+            self.send(content, router, pick + 1)
+
+    @rule(router=routers, pick=picks)
+    def send_innocent(self, router, pick):
+        self.innocents += 1
+        self.send(f"innocent-{self.innocents}", router, pick)
+
+    @rule(router=routers, pick=picks)
+    def send_crashing(self, router, pick):
+        # Copies that start before anyone knows can't be told from others.
+        if self.routers[router].count(CRASHING) or not self.crash_sent_unaware:
+            self.crash_sent_unaware = True
+            self.send(CRASHING, router, pick)
+
+    @rule(pick=picks)
+    def crash(self, pick):
+        doomed = [
+            target
+            for target in self.targets.values()
+            if CRASHING in [content for content, _ in target.running]
+        ]
+        if doomed:
+            self.deaths += 1
+            doomed[pick % len(doomed)].die()
+
+    @rule(pick=picks)
+    def complete(self, pick):
+        for target in list(self.targets.values())[pick:]:
+            for run in list(target.running):
+                if run[0] != CRASHING:
+                    target.running.remove(run)
+                    run[1].callback(None)
+
+    @rule()
+    def restart_targets(self):
+        for target in self.targets.values():
+            if not target.alive:
+                target.restart()
+
+    def teardown(self):
+        for target in self.targets.values():
+            while target.running:
+                target.running.pop()[1].callback(None)
+
+    @invariant()
+    def few_targets_are_lost_and_no_innocent_is_refused(self):
+        assert self.deaths <= defaults.QUARANTINE_STRIKES
+        assert set(self.refused) <= {CRASHING}
+
+
+QuarantineMachine.TestCase.settings = settings(
+    max_examples=300, stateful_step_count=30
+)
+TestQuarantineMachine = QuarantineMachine.TestCase
--- a/tests/support/steady_calls.py
+++ b/tests/support/steady_calls.py
@@ -21,7 +21,7 @@
 
 
 class SteadyCalls:
-    """Calls from a few threads until the block ends.
+    """Calls from a few threads until the block ends, no two alike.
 
     Attributes:
         answers: What became of each call.
@@ -74,8 +74,10 @@
     def _answer(self, name: str, number: int) -> Answered:
         port = self._fleet.router_by_name[name].port
         headers = self._headers | {"Idempotency-Key": f"call-{number}"}
+        prompt = f"{self._message['prompt']} {number}"
+        message = self._message | {"prompt": prompt}
         try:
-            reply = send(port, "POST", self._path, self._message, headers)
+            reply = send(port, "POST", self._path, message, headers)
         except (OSError, http.client.HTTPException) as error:
             return Answered(name, 0, repr(error))
         text = reply.body.decode()
