Bound what callers may ask of a router, and refuse it in typed JSON

Cause: a client could hold connections by sending ever so slowly, open as many as it liked, and got HTML or a bare 400 for what is no HTTP request; GET and HEAD on an agent's /run gave an HTML page, HEAD a traceback in it. Ruled out: an access log of twisted's own (it costs a formatted line on each request and says less than the decision records). Change: a deadline from a request's first byte to its last, bounds on headers and open connections, refusals as JSON everywhere; /run and the control endpoints refuse other methods by code. Red first: the fuzz of the control interface failed on GET and HEAD of /run (HTML, AttributeError); the channel's tests failed on a header line beyond 16 KiB (closed without an answer).

--- a/chicorystack/agent/gate.py
+++ b/chicorystack/agent/gate.py
@@ -20,7 +20,12 @@
 from chicorystack.observe.decisions import decisions
 from chicorystack.observe.metrics import metrics
 from chicorystack.settings.types import AgentSettings
-from chicorystack.web.server import Authorizer, header, run_handler
+from chicorystack.web.server import (
+    Authorizer,
+    header,
+    refuse_method,
+    run_handler,
+)
 
 call_decoder = msgspec.json.Decoder(CallHeader)
 
@@ -58,8 +63,10 @@
         """Calls given to the target and not finished."""
         return self._generations.in_flight + self._service_calls.in_flight
 
-    def render_POST(self, request: server.Request) -> int:
+    def render(self, request: server.Request) -> int:
         """Handles one call."""
+        if request.method != b"POST":
+            return refuse_method(request, "POST")
         return run_handler(request, self._handle(request))
 
     async def load(self, _message: Empty) -> LoadReport:
--- a/chicorystack/errors.py
+++ b/chicorystack/errors.py
@@ -15,6 +15,7 @@
     "unknown_service": 404,
     "unknown_request": 404,
     "method_not_allowed": 405,
+    "request_timeout": 408,
     "conflict": 409,
     "body_too_large": 413,
     "budget_exhausted": 402,
--- a/chicorystack/observe/metrics.py
+++ b/chicorystack/observe/metrics.py
@@ -53,6 +53,9 @@
     "config.entered": Metric("counter", "configurations that came in force"),
     "config.lost": Metric("counter", "publications that came second"),
     "invariant.violated.*": Metric("counter", "violations, by invariant"),
+    "http.refused.*": Metric(
+        "counter", "requests that were no whole valid HTTP, by error code"
+    ),
     "http.refused_connections": Metric(
         "counter", "connections closed because too many were open"
     ),
--- a/chicorystack/router/resources.py
+++ b/chicorystack/router/resources.py
@@ -4,7 +4,6 @@
 
 from chicorystack.budget.client import BudgetClient
 from chicorystack.config.store import ConfigStore
-from chicorystack.errors import ApiError
 from chicorystack.router.auth import CustomerDirectory
 from chicorystack.router.dispatcher import Dispatcher
 from chicorystack.util import shard_of
@@ -12,8 +11,8 @@
     NotFound,
     Tree,
     header,
+    refuse_method,
     run_handler,
-    send_error,
     send_json,
 )
 
@@ -76,16 +75,6 @@
         send_json(request, 200, await self._budgets.budgets(shard, customer))
 
 
-def refuse_method(request: server.Request, allowed: str) -> int:
-    """Refuses a method that the path does not offer."""
-    request.setHeader(b"allow", allowed.encode())
-    send_error(
-        request,
-        ApiError("method_not_allowed", f"use {allowed} here", "rejected"),
-    )
-    return server.NOT_DONE_YET
-
-
 def caller_tree(
     dispatcher: Dispatcher,
     store: ConfigStore,
--- a/chicorystack/web/server.py
+++ b/chicorystack/web/server.py
@@ -13,6 +13,7 @@
 from chicorystack import defaults
 from chicorystack.errors import ApiError, UserError
 from chicorystack.observe.logs import part_logger
+from chicorystack.web.channel import BoundedSite, max_connections
 
 log = part_logger("web")
 encoder = msgspec.json.Encoder()
@@ -41,7 +42,7 @@
             return
         self._too_large = length > defaults.MAX_BODY_BYTES
         if length > defaults.MAX_DROPPED_BODY_BYTES:
-            self.channel.loseConnection()
+            self.channel.refuse(_body_too_large())
 
     def handleContentChunk(self, data: bytes) -> None:
         """Keeps a part of the body, while the body is within the limit."""
@@ -55,18 +56,25 @@
         if not self._too_large:
             super().process()
             return
-        limit = defaults.MAX_BODY_BYTES
-        message = f"the body exceeds {limit} bytes"
-        send_error(self, ApiError("body_too_large", message, "rejected"))
+        send_error(self, _body_too_large())
+
+    def processingFailed(self, reason) -> None:
+        """Answers a failure of the program itself with a typed refusal."""
+        _answer_failure(reason, self)
+
+
+def _body_too_large() -> ApiError:
+    message = f"the body exceeds {defaults.MAX_BODY_BYTES} bytes"
+    return ApiError("body_too_large", message, "rejected")
 
 
 def listen(
     reactor: IReactorTCP, root: resource.Resource, address: str, port: int
 ):
     """Serves root over HTTP and returns the listening port."""
-    site = server.Site(root, timeout=defaults.HTTP_IDLE_TIMEOUT_S)
-    site.requestFactory = LimitedRequest
-    site.noisy = False
+    site = BoundedSite(
+        root, max_connections(), requestFactory=LimitedRequest, reactor=reactor
+    )
     try:
         return reactor.listenTCP(port, site, interface=address, backlog=512)
     except error.CannotListenError as failure:
@@ -161,6 +169,16 @@
     """Lets every request pass."""
 
 
+def refuse_method(request: server.Request, allowed: str) -> int:
+    """Refuses a method that the path does not offer."""
+    request.setHeader(b"allow", allowed.encode())
+    send_error(
+        request,
+        ApiError("method_not_allowed", f"use {allowed} here", "rejected"),
+    )
+    return server.NOT_DONE_YET
+
+
 class JsonEndpoint(resource.Resource, Generic[BodyT]):
     """One URL that takes a typed JSON message and answers with another.
 
@@ -180,13 +198,12 @@
         self._handler = handler
         self._authorize = authorize
 
-    def render_POST(self, request: server.Request) -> int:
-        """Handles a message sent as the body."""
-        return run_handler(request, self._handle(request, read_body))
-
-    def render_GET(self, request: server.Request) -> int:
-        """Handles a message sent as query arguments."""
-        return run_handler(request, self._handle(request, read_query))
+    def render(self, request: server.Request) -> int:
+        """Handles a message sent as the body or as query arguments."""
+        read = READER_BY_METHOD.get(request.method)
+        if read is None:
+            return refuse_method(request, "GET or POST")
+        return run_handler(request, self._handle(request, read))
 
     async def _handle(self, request: server.Request, read) -> None:
         self._authorize(request)
@@ -211,6 +228,9 @@
         raise ApiError("bad_request", f"query: {cause}", "rejected") from cause
 
 
+READER_BY_METHOD = {b"POST": read_body, b"GET": read_query, b"HEAD": read_query}
+
+
 class NotFound(resource.Resource):
     """Answers every path below it with a typed refusal."""
 
--- /dev/null
+++ b/tests/web/test_channel.py
@@ -0,0 +1,84 @@
+"""Clients are held to bounds, and told so in typed JSON."""
+
+import pytest
+
+from chicorystack import defaults
+from chicorystack.web.server import Tree
+from tests.support.wire import Wire, parse, request
+
+
+@pytest.fixture
+def wire():
+    return Wire(Tree(), max_connections=3)
+
+
+@pytest.mark.parametrize(
+    "raw",
+    [
+        b"nonsense\r\n\r\n",
+        b"GET / HTTP/1.1\r\nno colon\r\n\r\n",
+        b"GET / HTTP/1.1\r\ncontent-length: x\r\n\r\n",
+        b"GET / HTTP/1.1\r\ntransfer-encoding: zip\r\n\r\n",
+        request(b"GET", b"/", [(b"x", b"y" * defaults.MAX_HEADER_BYTES)]),
+        request(b"GET", b"/", [(b"x", b"y")] * (defaults.MAX_HEADERS + 1)),
+        b"GET /" + b"x" * defaults.MAX_HEADER_BYTES + b" HTTP/1.1\r\n",
+    ],
+)
+def test_what_is_no_request_gets_typed_json(wire, raw):
+    reply = wire.send(raw)
+    assert reply.status == 400
+    assert reply.error()["code"] == "bad_request"
+
+
+def test_client_that_sends_ever_so_slowly_is_refused(wire):
+    protocol, transport = wire.connect()
+    raw = request(b"POST", b"/v1", body=b"x" * 1000)
+    for position in range(int(defaults.REQUEST_ARRIVAL_S) + 1):
+        protocol.dataReceived(raw[position : position + 1])
+        wire.clock.advance(1)
+    reply = parse(transport.value())
+    assert reply.status == 408
+    assert reply.error()["code"] == "request_timeout"
+    assert transport.disconnecting
+
+
+def test_deadline_is_that_of_each_request(wire):
+    protocol, transport = wire.connect()
+    for _ in range(5):
+        protocol.dataReceived(request(b"GET", b"/none"))
+        assert parse(transport.value()).status == 404
+        transport.clear()
+        wire.clock.advance(defaults.REQUEST_ARRIVAL_S - 1)
+    assert not transport.disconnecting
+
+
+def test_idle_connection_is_closed(wire):
+    _, transport = wire.connect()
+    wire.clock.advance(defaults.HTTP_IDLE_TIMEOUT_S + 1)
+    assert transport.disconnecting
+
+
+def test_connections_beyond_the_bound_are_refused_and_room_comes_back(wire):
+    opened = [wire.connect() for _ in range(3)]
+    reply = parse(wire.connect()[1].value())
+    assert reply.status == 429
+    assert reply.error()["code"] == "overloaded"
+    assert reply.error()["retry_after_ms"] > 0
+    opened[0][0].connectionLost(None)
+    assert wire.send(request(b"GET", b"/none")).status == 404
+
+
+def test_body_that_would_be_far_too_large_is_not_waited_for(wire):
+    size = str(defaults.MAX_DROPPED_BODY_BYTES + 1).encode()
+    reply = wire.send(
+        b"POST /v1 HTTP/1.1\r\ncontent-length: " + size + b"\r\n\r\n"
+    )
+    assert reply.status == 413
+    assert reply.error()["code"] == "body_too_large"
+
+
+def test_body_beyond_the_bound_is_refused(wire):
+    body = b"x" * (defaults.MAX_BODY_BYTES + 1)
+    reply = wire.send(request(b"POST", b"/v1", body=body))
+    assert reply.status == 413
+    assert reply.error()["code"] == "body_too_large"
--- /dev/null
+++ b/tests/web/test_fuzz.py
@@ -0,0 +1,282 @@
+"""Whatever callers and peers send: a typed refusal, never a failure."""
+
+import json
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from loguru import logger
+from twisted.internet import task
+
+from chicorystack.agent.gate import Gate
+from chicorystack.budget.keeper_service import KeeperService
+from chicorystack.budget.messages import (
+    BudgetsReply,
+    CustomerQuery,
+    CustomerReply,
+    Exchange,
+)
+from chicorystack.budget.wallet import Reservation, ShardWallet
+from chicorystack.calls.messages import CALL_HEADER, LoadReport
+from chicorystack.config.check import check_text
+from chicorystack.config.messages import ConfigInForce, ConfigQuery
+from chicorystack.config.model import build_config
+from chicorystack.config.store import ConfigStore
+from chicorystack.errors import STATUS_BY_CODE
+from chicorystack.observe.endpoints import (
+    Readiness,
+    make_status,
+    put_observe_endpoints,
+)
+from chicorystack.router.admission import (
+    BUDGET_HEADER,
+    KEY_HEADER,
+    TIMEOUT_HEADER,
+    Admission,
+)
+from chicorystack.router.auth import CustomerDirectory
+from chicorystack.router.dispatcher import Dispatcher
+from chicorystack.router.forwarder import Delivered
+from chicorystack.router.resources import caller_tree
+from chicorystack.util import secret_hash
+from chicorystack.web.server import (
+    FLEET_TOKEN_HEADER,
+    JsonEndpoint,
+    Tree,
+    fleet_authorizer,
+    send_json,
+)
+from tests.conftest import EXAMPLES
+from tests.support.wire import Wire, request
+
+TOKEN = "a-fleet-token"
+SALT = "00" * 16
+SECRET = "s3cr3t"
+
+
+class FakeBudgets:
+    """Knows one customer and pays all of its calls."""
+
+    def __init__(self):
+        self.wallets = ShardWallet(0, "holder")
+
+    async def customer(self, _shard, name):
+        return CustomerReply(
+            customer=name, key_salt=SALT, key_hash=secret_hash(SECRET, SALT)
+        )
+
+    async def budgets(self, _shard, customer):
+        return BudgetsReply(customer=customer, epoch=1, budgets=[])
+
+    async def reserve(self, shard, budget, tokens, _deadline):
+        return Reservation(shard, budget, 1, tokens, "holder:1")
+
+    def wallet(self, _shard):
+        return self.wallets
+
+
+class FakeAttempts:
+    """Answers every call at once."""
+
+    async def run(self, caller, _call, reservation):
+        send_json(caller, 200, {"ok": True})
+        return Delivered(reservation.tokens, reservation.use)
+
+
+class FakeService:
+    """Stands for what an agent does behind its gate."""
+
+    in_flight = 0
+
+    async def serve(self, caller, _call):
+        send_json(caller, 200, {"ok": True})
+
+    serve_repeatable = serve_once = serve
+
+
+def make_store():
+    example = EXAMPLES / "brandvagt.yaml"
+    text = check_text(example.read_text(), str(example))
+    store = ConfigStore()
+    store.config = build_config(text, 1)
+    return store
+
+
+def caller_wire():
+    clock, store, budgets = task.Clock(), make_store(), FakeBudgets()
+    customers = CustomerDirectory(clock, budgets)
+    admission = Admission(clock, "dk-east", customers, budgets)
+    attempts = FakeAttempts()
+    dispatcher = Dispatcher(
+        clock, store, admission, budgets, attempts, attempts
+    )
+    return Wire(caller_tree(dispatcher, store, customers, budgets))
+
+
+class AgentSettingsStub:
+    name, site, service = "booking-1", "dk-east", "booking"
+
+
+def control_wire():
+    authorize = fleet_authorizer(TOKEN)
+    store = make_store()
+    keeper = KeeperService(task.Clock(), None, "r", "u", dict)
+    service = FakeService()
+    gate = Gate(
+        AgentSettingsStub, store, service, service, authorize, lambda _: None
+    )
+
+    async def answer_config(query) -> ConfigInForce:
+        return store.in_force(query.get("known", 0))
+
+    async def take_report(_report):
+        return {}
+
+    ready = Readiness(ready=True, config_version=1)
+    root = Tree()
+    put_observe_endpoints(
+        root,
+        authorize,
+        lambda: ready,
+        lambda: make_status("r", "router", ready, 0),
+    )
+    root.put("run", gate)
+    for path, kind, handler in (
+        ("config", ConfigQuery, answer_config),
+        ("report", LoadReport, take_report),
+        ("keeper/exchange", Exchange, keeper.handle_exchange),
+        ("keeper/customer", CustomerQuery, keeper.handle_customer),
+        ("keeper/budgets", CustomerQuery, keeper.handle_budgets),
+    ):
+        root.put(path, JsonEndpoint(kind, handler, authorize))
+    return Wire(root)
+
+
+@pytest.fixture(scope="module")
+def failures():
+    """Errors that the programs log, as they do for every failure."""
+    found = []
+    number = logger.add(found.append, level="ERROR", format="{message}")
+    yield found
+    logger.remove(number)
+
+
+def is_well_refused(reply, method=b"GET"):
+    """Checks a reply; every refusal is JSON with a documented code."""
+    if reply.status == 200:
+        return True
+    if method == b"HEAD":
+        # Such an answer has no body.
+        assert reply.status in set(STATUS_BY_CODE.values()) - {500}
+        return True
+    error = reply.error()
+    assert STATUS_BY_CODE[error["code"]] == reply.status
+    assert error["code"] != "internal"
+    assert "Traceback" not in error["message"]
+    return True
+
+
+json_values = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(st.text(max_size=5), inner, max_size=3)
+    ),
+    max_leaves=6,
+)
+message_fields = st.sampled_from(
+    ["prompt", "max_tokens", "shard", "holder", "number", "epoch", "held",
+     "usage", "wanted", "customer", "subjects", "known", "target", "ready"]
+)  # fmt: skip
+messages = st.dictionaries(message_fields, json_values, max_size=8)
+bodies = st.one_of(
+    st.binary(max_size=40),
+    json_values.map(lambda value: json.dumps(value).encode()),
+    messages.map(lambda value: json.dumps(value).encode()),
+    st.just(b"[" * 5000),
+)
+# Anything that a header may hold without ending it.
+header_values = st.binary(max_size=30).map(
+    lambda value: value.translate(None, b"\0\r\n")
+)
+CALLER_HEADERS = {
+    "authorization": f"Bearer ck.alpha.{SECRET}".encode(),
+    KEY_HEADER: b"k1",
+    TIMEOUT_HEADER: b"5000",
+    BUDGET_HEADER: b"main",
+}
+CONTROL_HEADERS = {
+    FLEET_TOKEN_HEADER: TOKEN.encode(),
+    CALL_HEADER: b"{}",
+}
+CALLER_PATHS = [
+    b"/v1/services/fault-model/summary",
+    b"/v1/services/booking/book",
+    b"/v1/services/booking",
+    b"/v1/budgets",
+]
+CONTROL_PATHS = [
+    b"/run",
+    b"/config?known=x",
+    b"/keeper/exchange",
+    b"/keeper/customer?shard=0&customer=%ff",
+    b"/explain?subjects=a,b",
+    b"/report",
+    b"/status",
+    b"/readyz",
+]
+methods = st.sampled_from([b"GET", b"POST", b"PUT", b"HEAD", b"OPTIONS", b"X"])
+
+
+def headers_of(valid):
+    """Strategy: valid headers, some of them replaced, left out or doubled."""
+    pairs = st.sampled_from(sorted(valid)).flatmap(
+        lambda name: st.tuples(
+            st.just(name.encode()), st.just(valid[name]) | header_values
+        )
+    )
+    everything = [(name.encode(), value) for name, value in valid.items()]
+    return st.just(everything) | st.lists(pairs, max_size=6)
+
+
+def paths_of(known):
+    """Strategy: known paths and such that hardly mean anything."""
+    strange = st.text(max_size=10).map(
+        lambda text: b"/v1/services/" + text.encode("utf-8").hex().encode()
+    )
+    return st.sampled_from(known) | strange | st.just(b"/%ff/%00//..")
+
+
+CALLERS = caller_wire()
+CONTROL = control_wire()
+
+
+@given(methods, paths_of(CALLER_PATHS), headers_of(CALLER_HEADERS), bodies)
+def test_callers_interface(failures, method, path, headers, body):
+    reply = CALLERS.send(request(method, path, headers, body))
+    assert is_well_refused(reply, method)
+    assert failures == []
+
+
+@given(methods, paths_of(CONTROL_PATHS), headers_of(CONTROL_HEADERS), bodies)
+def test_control_interface(failures, method, path, headers, body):
+    reply = CONTROL.send(request(method, path, headers, body))
+    assert is_well_refused(reply, method)
+    assert failures == []
+
+
+@given(st.binary(max_size=200))
+def test_bytes_that_are_no_request(failures, raw):
+    reply = CALLERS.send(raw + b"\r\n\r\n")
+    assert reply.status == 0 or is_well_refused(reply)
+    assert failures == []
+
+
+def test_the_fuzzed_wires_serve_what_is_right():
+    """Keeps the tests above honest: their good requests do get through."""
+    headers = [(name.encode(), v) for name, v in CALLER_HEADERS.items()]
+    body = b'{"prompt": "x"}'
+    reply = CALLERS.send(request(b"POST", CALLER_PATHS[0], headers, body))
+    assert reply.status == 200
+    token = [(FLEET_TOKEN_HEADER.encode(), TOKEN.encode())]
+    assert CONTROL.send(request(b"GET", b"/status", token)).status == 200
