Drop clients that do not read their answer

Cause: a client that stopped reading held its call's target and tokens for as long as it liked: the idle timeout is off while a request is handled. Red first: without the override the test's transport stays connected.

--- a/chicorystack/observe/metrics.py
+++ b/chicorystack/observe/metrics.py
@@ -56,6 +56,9 @@
     "http.refused.*": Metric(
         "counter", "requests that were no whole valid HTTP, by error code"
     ),
+    "http.stalled_clients": Metric(
+        "counter", "clients dropped because they did not read their answer"
+    ),
     "http.refused_connections": Metric(
         "counter", "connections closed because too many were open"
     ),
--- a/chicorystack/web/channel.py
+++ b/chicorystack/web/channel.py
@@ -34,12 +34,14 @@
     """One client's connection.
 
     A request must have arrived whole within a deadline from its first byte,
-    however slowly its client goes on sending.
+    however slowly its client goes on sending. A client that does not read its
+    answer is dropped, so that it holds neither a target nor tokens.
     """
 
     maxHeaders = defaults.MAX_HEADERS
     totalHeadersSize = defaults.MAX_HEADER_BYTES
     _overdue = None
+    _stalled = None
 
     def dataReceived(self, data: bytes) -> None:
         """Takes bytes; the first of a request start its deadline."""
@@ -54,9 +56,33 @@
         self._cancel_deadline()
         http.HTTPChannel.allContentReceived(self)
 
+    def pauseProducing(self) -> None:
+        """Is called by the transport when the client does not read."""
+        if self._stalled is None:
+            self._stalled = self.callLater(
+                defaults.CLIENT_STALL_S, self._drop_stalled_client
+            )
+        http.HTTPChannel.pauseProducing(self)
+
+    def resumeProducing(self) -> None:
+        """Is called by the transport once all has been read."""
+        self._cancel_stall()
+        http.HTTPChannel.resumeProducing(self)
+
+    def _drop_stalled_client(self) -> None:
+        self._stalled = None
+        metrics.count("http.stalled_clients")
+        self.transport.abortConnection()
+
+    def _cancel_stall(self) -> None:
+        if self._stalled is not None and self._stalled.active():
+            self._stalled.cancel()
+        self._stalled = None
+
     def connectionLost(self, reason) -> None:
-        """Forgets the deadline."""
+        """Forgets the deadlines."""
         self._cancel_deadline()
+        self._cancel_stall()
         http.HTTPChannel.connectionLost(self, reason)
 
     def _cancel_deadline(self) -> None:
--- a/tests/web/test_channel.py
+++ b/tests/web/test_channel.py
@@ -1,6 +1,10 @@
 """Clients are held to bounds, and told so in typed JSON."""
 
 import pytest
+from twisted.internet.error import ConnectionLost
+from twisted.python.failure import Failure
+from twisted.web import resource
+from twisted.web.server import NOT_DONE_YET
 
 from chicorystack import defaults
 from chicorystack.web.server import Tree
@@ -82,3 +86,35 @@
     reply = wire.send(request(b"POST", b"/v1", body=body))
     assert reply.status == 413
     assert reply.error()["code"] == "body_too_large"
+
+
+class Answering(resource.Resource):
+    """Answers for ever, and knows when its client has gone."""
+
+    isLeaf = True
+    gone = False
+
+    def render(self, caller):
+        caller.notifyFinish().addErrback(self.note_gone)
+        caller.write(b"x")
+        return NOT_DONE_YET
+
+    def note_gone(self, _reason):
+        self.gone = True
+
+
+def test_client_that_does_not_read_is_dropped():
+    answering = Answering()
+    wire = Wire(answering)
+    protocol, transport = wire.connect()
+    protocol.dataReceived(request(b"GET", b"/"))
+    transport.producer.pauseProducing()
+    wire.clock.advance(defaults.CLIENT_STALL_S - 1)
+    transport.producer.resumeProducing()
+    transport.producer.pauseProducing()
+    wire.clock.advance(defaults.CLIENT_STALL_S - 1)
+    assert not transport.disconnected
+    wire.clock.advance(1)
+    assert transport.disconnected
+    protocol.connectionLost(Failure(ConnectionLost()))
+    assert answering.gone
