Say 'not run' only after the owner of the key left a tombstone

Cause: every refusal of a booking that its router made by itself (budget, deadline, no target, draining) claimed 'unknown', and an agent held no record that a key must not run, so nothing could claim more. Change: a refused booking is sent to the owner of its key as a call with 'refuse'. The owner leaves a tombstone, gives the kept answer, waits for the run, or says 'unknown'; where it can't be reached, the caller hears 'unknown' with retry_after_ms. Keys carry a hash of operation and body (key_reused) and kept answers are bounded by bytes and by the window. Reservations of answers that did not come whole stay reserved until the agents have said what the run used (/settle); a run that an agent has not seen is closed there, and a restarted agent or a lost VM charges the bound. The fault proxy lost bytes on their way when their sender closed; it now delivers them, as a network would.

--- a/bench/fault_proxy.py
+++ b/bench/fault_proxy.py
@@ -42,6 +42,8 @@
             messages on different connections overtake each other.
         truncate_after: Closes a connection after so many answer bytes; -1
             never.
+        cross_answers: Gives the answers of two connections to each other's
+            callers.
     """
 
     prefix: str
@@ -49,11 +51,12 @@
     delay_s: float
     delay_every_other: bool
     truncate_after: int
+    cross_answers: bool
 
 
 NO_FAULTS = Faults(
     prefix="", cut="none", delay_s=0.0, delay_every_other=False,
-    truncate_after=-1,
+    truncate_after=-1, cross_answers=False,
 )  # fmt: skip
 
 
@@ -62,14 +65,34 @@
 
     answer_bytes = 0
 
+    def connectionMade(self) -> None:
+        """Joins both halves.
+
+        Neither stops the other as its producer, so that bytes on their way
+        outlive the connection that sent them.
+        """
+        self.peer.setPeer(self)
+        self.peer.transport.resumeProducing()
+
     def dataReceived(self, data: bytes) -> None:
         """Carries answer bytes back, or loses them."""
         route: RouteFactory = self.peer.factory
         if route.drops("from_target"):
             return
+        if route.faults["cross_answers"]:
+            route.cross(self, data)
+            return
         route.later(self.peer.number, self._carry, data)
 
+    def connectionLost(self, reason) -> None:
+        """Closes the other half, after the bytes on their way."""
+        if self.peer is not None:
+            number = self.peer.number
+            self.peer.factory.later(number, super().connectionLost, reason)
+
     def _carry(self, data: bytes) -> None:
+        if self.peer is None or self.peer.transport is None:
+            return
         limit = self.peer.factory.faults["truncate_after"]
         if limit >= 0 and self.answer_bytes + len(data) >= limit:
             self.peer.transport.write(data[: limit - self.answer_bytes])
@@ -99,9 +122,9 @@
         super().connectionMade()
 
     def connectionLost(self, reason) -> None:
-        """Closes the other half."""
+        """Closes the other half, after the bytes on their way."""
         self.factory.connections.discard(self)
-        super().connectionLost(reason)
+        self.factory.later(self.number, super().connectionLost, reason)
 
     def dataReceived(self, data: bytes) -> None:
         """Carries request bytes on, or loses them."""
@@ -125,6 +148,7 @@
         self.faults = NO_FAULTS
         self.connections: set[FaultyServer] = set()
         self._count = 0
+        self._crossing: tuple[FaultyClient, bytes] | None = None
 
     def next_number(self) -> int:
         """Returns the number of a new connection."""
@@ -135,7 +159,17 @@
         """Tells whether bytes in this direction are lost."""
         return self.faults["cut"] in ("both", direction)
 
-    def later(self, number: int, carry, data: bytes) -> None:
+    def cross(self, client: FaultyClient, data: bytes) -> None:
+        """Exchanges an answer with the next one of another connection."""
+        if self._crossing is None or self._crossing[0] is client:
+            self._crossing = client, data
+            return
+        other, other_data = self._crossing
+        self._crossing = None
+        client._carry(other_data)
+        other._carry(data)
+
+    def later(self, number: int, carry, data) -> None:
         """Carries bytes after the connection's delay."""
         delay = self.faults["delay_s"]
         if self.faults["delay_every_other"] and number % 2 == 0:
--- a/chicorystack/agent/gate.py
+++ b/chicorystack/agent/gate.py
@@ -80,7 +80,7 @@
         service = self._service()
         if service is None:
             raise ApiError("not_ready", "the agent has no configuration yet")
-        if self.draining:
+        if self.draining and not call.get("refuse"):
             raise ApiError("draining", "the target is leaving")
         if service.kind == "engine":
             await self._generations.serve(request, call)
--- a/chicorystack/agent/main.py
+++ b/chicorystack/agent/main.py
@@ -11,6 +11,7 @@
 from chicorystack.agent.target_client import TargetClient
 from chicorystack.calls.messages import Empty, EngineLoad
 from chicorystack.calls.run_table import RunTable
+from chicorystack.calls.usage_table import SettleRequest, UsageTable
 from chicorystack.config.messages import CONFIG_STREAM
 from chicorystack.config.store import ConfigStore
 from chicorystack.errors import ApiError
@@ -46,16 +47,18 @@
         )
         target = TargetClient(make_http_agent(reactor), settings.target_url)
         authorize = fleet_authorizer(settings.fleet_token)
+        usage = UsageTable(reactor)
         self._gate = Gate(
             settings,
             self._store,
-            Generations(target),
-            ServiceCalls(target, RunTable(reactor)),
+            Generations(target, usage),
+            ServiceCalls(reactor, target, RunTable(reactor), usage),
             authorize,
         )
         self._load_loop = task.LoopingCall(self._poll_target_load)
         root = Tree()
         root.put("run", self._gate)
+        root.put("settle", JsonEndpoint(SettleRequest, usage.settle, authorize))
         root.put("load", JsonEndpoint(Empty, self._gate.load, authorize))
         self._port = listen(reactor, root, settings.address, settings.port)
 
--- a/chicorystack/agent/service_calls.py
+++ b/chicorystack/agent/service_calls.py
@@ -6,7 +6,8 @@
 from chicorystack.agent.answers import send_answer
 from chicorystack.agent.target_client import TargetClient, TargetFailedError
 from chicorystack.calls.messages import CallHeader
-from chicorystack.calls.run_table import KeptAnswer, RunTable
+from chicorystack.calls.run_table import KeptAnswer, RunTable, body_hash
+from chicorystack.calls.usage_table import UsageTable
 from chicorystack.errors import ApiError
 from chicorystack.observe.logs import part_logger
 
@@ -20,51 +21,87 @@
         in_flight: Calls given to the service and not finished.
     """
 
-    def __init__(self, target: TargetClient, runs: RunTable):
+    def __init__(
+        self, clock, target: TargetClient, runs: RunTable, usage: UsageTable
+    ):
+        self._clock = clock
         self._target = target
         self._runs = runs
+        self._usage = usage
         self.in_flight = 0
 
     async def serve_repeatable(
         self, request: server.Request, call: CallHeader
     ) -> None:
         """Runs a call that may be repeated."""
-        answer = await self._run(request, call)
+        self._usage.begin(call["use"])
+        answer = await self._run(call, _body(request))
         send_answer(request, call, answer, self.in_flight)
 
     async def serve_once(
         self, request: server.Request, call: CallHeader
     ) -> None:
-        """Runs a call, or gives the answer of its earlier run."""
-        if self._runs.begin(call):
+        """Runs a call, or gives the answer of its earlier run.
+
+        A call with `refuse` never starts a run: where the key is unknown, it
+        leaves a tombstone that keeps every later copy from running.
+        """
+        body = _body(request)
+        content = body_hash(call["operation"], body)
+        if call.get("refuse"):
+            self._runs.refuse(call, content)
+        elif self._begin(call, content):
             # Detached: the run goes on when the router or its caller goes.
-            defer.ensureDeferred(self._execute_once(request, call))
-        answer = await self._runs.answer(call)
+            defer.ensureDeferred(self._execute_once(call, body))
+        answer = await self._answer_in_time(call)
         send_answer(request, call, answer, self.in_flight)
 
-    async def _execute_once(
-        self, request: server.Request, call: CallHeader
-    ) -> None:
+    def _begin(self, call: CallHeader, content: str) -> bool:
+        """Marks a call and its use as started; False where it is known."""
+        self._usage.begin(call["use"])
+        try:
+            started = self._runs.begin(call, content)
+        except ApiError:
+            self._usage.end(call["use"], 0)
+            raise
+        if not started:
+            self._usage.end(call["use"], 0)
+        return started
+
+    async def _answer_in_time(self, call: CallHeader) -> KeptAnswer:
+        answering = self._runs.answer(call["key"])
+        answering.addTimeout(call["timeout_ms"] / 1000, self._clock)
         try:
-            answer = await self._run(request, call)
+            return await answering
+        except defer.TimeoutError as error:
+            raise ApiError(
+                "deadline_exceeded", "the call still runs", "unknown"
+            ) from error
+
+    async def _execute_once(self, call: CallHeader, body: bytes) -> None:
+        answer = None
+        try:
+            answer = await self._run(call, body)
         except ApiError as error:
             log.warning("outcome of key {} is unknown: {}", call["key"], error)
-            unknown = ApiError("outcome_unknown", str(error), "unknown")
-            self._runs.finish(call, unknown)
-            return
-        self._runs.finish(call, answer)
+        self._runs.finish(call["key"], answer)
 
-    async def _run(
-        self, request: server.Request, call: CallHeader
-    ) -> KeptAnswer:
-        request.content.seek(0)
+    async def _run(self, call: CallHeader, body: bytes) -> KeptAnswer:
         self.in_flight += 1
+        used = 0
         try:
-            status, body = await self._target.call(
-                call["operation"], request.content.read(), call["key"]
+            status, answer = await self._target.call(
+                call["operation"], body, call["key"]
             )
+            used = call["cost_tokens"]
         except TargetFailedError as error:
             raise ApiError("target_failed", str(error)) from error
         finally:
             self.in_flight -= 1
-        return KeptAnswer(status, body, call["cost_tokens"], call["use"])
+            self._usage.end(call["use"], used)
+        return KeptAnswer(status, answer, call["cost_tokens"], call["use"])
+
+
+def _body(request: server.Request) -> bytes:
+    request.content.seek(0)
+    return request.content.read()
--- a/chicorystack/calls/run_table.py
+++ b/chicorystack/calls/run_table.py
@@ -1,6 +1,12 @@
-"""An agent's table of calls that may run only once."""
+"""An agent's table of calls that may run only once.
 
-from typing import NamedTuple
+The table is the last word on a key: it has run, is running, will never run
+(a tombstone), or its outcome is unknown. A key is remembered for a window
+after it was first seen, and an answer for as long as its bytes have room.
+"""
+
+import hashlib
+from typing import Literal, NamedTuple
 
 from twisted.internet import defer
 
@@ -9,94 +15,216 @@
 from chicorystack.errors import ApiError
 from chicorystack.observe.invariants import require
 
+BODY_HASH_BYTES = 12
+
+RunState = Literal["running", "done", "not_run", "unknown"]
+
 
 class KeptAnswer(NamedTuple):
     """The answer of a finished call.
 
     Attributes:
         status: HTTP status of the target.
-        body: Whole body.
+        body: Whole body; None where its bytes had to make room.
         tokens: Tokens used.
         use: Id of the run.
     """
 
     status: int
-    body: bytes
+    body: bytes | None
     tokens: int
     use: str
 
 
-class _Run(NamedTuple):
-    """A call that has been started.
+class Run(NamedTuple):
+    """What is known of one key.
 
     Attributes:
-        customer: Who asked.
-        forget_at: Time on the reactor's clock to forget it at.
+        state: Whether it runs, has run, never will, or may have.
+        body_hash: Hash of the operation and body that came with the key.
+        forget_at: Time on the clock to forget it at.
+        answer: The answer, where the state is `done`.
         waiters: Those who wait for the answer.
-        result: The answer, or why it can't be known, once there is one.
     """
 
-    customer: str
+    state: RunState
+    body_hash: str
     forget_at: float
-    waiters: list[defer.Deferred]
-    result: KeptAnswer | ApiError | None
+    answer: KeptAnswer | None = None
+    waiters: tuple[defer.Deferred, ...] = ()
+
+
+def body_hash(operation: str, body: bytes) -> str:
+    """Returns a hash that tells one operation and body from another."""
+    text = operation.encode() + b"\0" + body
+    return hashlib.blake2b(text, digest_size=BODY_HASH_BYTES).hexdigest()
 
 
 class RunTable:
-    """Remembers, for the window, which keys have run and their answers."""
+    """Remembers, for the window, what became of each key.
+
+    Attributes:
+        run_by_key: What is known, oldest key first.
+        kept_bytes: Bytes of all kept answers.
+    """
 
     def __init__(self, clock):
         self._clock = clock
-        self._run_by_key: dict[str, _Run] = {}
+        self._keys_with_body: dict[str, None] = {}
+        self.run_by_key: dict[str, Run] = {}
+        self.kept_bytes = 0
 
-    def begin(self, call: CallHeader) -> bool:
-        """Marks a call as started; False where its key has been started."""
-        self._forget_old()
-        if call["key"] in self._run_by_key:
+    def begin(self, call: CallHeader, content: str) -> bool:
+        """Marks a call as started; False where its key is known.
+
+        Args:
+            call: The call.
+            content: Its body hash.
+
+        Raises:
+            ApiError: `key_reused` where the key came with another body;
+                `overloaded` where the table is full.
+        """
+        if self._known(call["key"], content):
             return False
-        forget_at = self._clock.seconds() + defaults.KEY_WINDOW_S
-        self._run_by_key[call["key"]] = _Run(
-            call["customer"], forget_at, [], None
-        )
+        self._put(call["key"], "running", content)
         return True
 
-    def finish(self, call: CallHeader, result: KeptAnswer | ApiError) -> None:
-        """Keeps the result and gives it to those who wait."""
-        run = self._run_by_key[call["key"]]
-        require("runs_once", run.result is None, f"key {call['key']} ran twice")
-        self._run_by_key[call["key"]] = run._replace(result=result, waiters=[])
+    def refuse(self, call: CallHeader, content: str) -> bool:
+        """Leaves a tombstone, so that the call never runs.
+
+        Returns:
+            False where the key is known, and nothing changed.
+
+        Raises:
+            ApiError: As `begin` does.
+        """
+        if self._known(call["key"], content):
+            return False
+        self._put(call["key"], "not_run", content)
+        return True
+
+    def finish(self, key: str, answer: KeptAnswer | None) -> None:
+        """Keeps the answer, or that the outcome is unknown (None)."""
+        run = self.run_by_key[key]
+        require(
+            "runs_once", run.state == "running", f"key {key} was {run.state}"
+        )
+        state: RunState = "unknown" if answer is None else "done"
+        self.run_by_key[key] = run._replace(
+            state=state, answer=answer, waiters=()
+        )
+        if answer is not None and answer.body is not None:
+            self._keys_with_body[key] = None
+            self.kept_bytes += len(answer.body)
+            self._make_room()
         for waiter in run.waiters:
             if not waiter.called:
-                _fire(waiter, result)
+                self._fire(waiter, self.run_by_key[key], answer)
 
-    def answer(self, call: CallHeader) -> "defer.Deferred[KeptAnswer]":
-        """Returns the answer of a started call, once there is one.
+    def answer(self, key: str) -> "defer.Deferred[KeptAnswer]":
+        """Returns the answer of a known key, once there is one.
 
         Raises:
-            ApiError: `forbidden` where another customer started it;
-                `outcome_unknown` where the target broke off.
+            ApiError: `refused_for_good` where it never runs;
+                `outcome_unknown` where the target broke off;
+                `answer_forgotten` where it ran and its bytes made room.
         """
-        run = self._run_by_key[call["key"]]
-        if run.customer != call["customer"]:
-            raise ApiError("forbidden", "the key belongs to another customer")
+        run = self.run_by_key[key]
         waiter: defer.Deferred[KeptAnswer] = defer.Deferred()
-        if run.result is None:
-            run.waiters.append(waiter)
+        if run.state == "running":
+            waiters = (w for w in run.waiters if not w.called)
+            self.run_by_key[key] = run._replace(waiters=(*waiters, waiter))
         else:
-            _fire(waiter, run.result)
+            self._fire(waiter, run, run.answer)
         return waiter
 
+    def state(self, key: str) -> RunState | None:
+        """Returns what is known of a key, or None."""
+        self._forget_old()
+        run = self.run_by_key.get(key)
+        return None if run is None else run.state
+
+    def _known(self, key: str, content: str) -> bool:
+        self._forget_old()
+        run = self.run_by_key.get(key)
+        if run is None:
+            return False
+        if run.body_hash != content:
+            raise ApiError(
+                "key_reused",
+                "the key came before with another operation or body",
+                "rejected",
+            )
+        return True
+
+    def _put(self, key: str, state: RunState, content: str) -> None:
+        require(
+            "no_run_after_tombstone",
+            key not in self.run_by_key,
+            f"key {key} is known",
+        )
+        if len(self.run_by_key) >= defaults.MAX_KEYS_PER_AGENT:
+            raise ApiError(
+                "overloaded",
+                "the target remembers as many keys as it can",
+                retry_after_ms=defaults.RETRY_AFTER_MS,
+            )
+        forget_at = self._clock.seconds() + defaults.KEY_WINDOW_S
+        self.run_by_key[key] = Run(state, content, forget_at)
+
+    def _fire(
+        self, waiter: defer.Deferred, run: Run, answer: KeptAnswer | None
+    ) -> None:
+        error = _refusal_of(run, answer)
+        if error is not None:
+            waiter.errback(error)
+        else:
+            waiter.callback(answer)
+
+    def _make_room(self) -> None:
+        while self.kept_bytes > defaults.KEPT_ANSWERS_MAX_BYTES:
+            self._drop_body(next(iter(self._keys_with_body)))
+
+    def _drop_body(self, key: str) -> None:
+        del self._keys_with_body[key]
+        run = self.run_by_key[key]
+        self.kept_bytes -= len(run.answer.body)
+        answer = run.answer._replace(body=None)
+        self.run_by_key[key] = run._replace(answer=answer)
+
     def _forget_old(self) -> None:
         now = self._clock.seconds()
-        while self._run_by_key:
-            key = next(iter(self._run_by_key))
-            if self._run_by_key[key].forget_at > now:
+        while self.run_by_key:
+            key = next(iter(self.run_by_key))
+            run = self.run_by_key[key]
+            if run.forget_at > now:
                 return
-            del self._run_by_key[key]
-
-
-def _fire(waiter: defer.Deferred, result: KeptAnswer | ApiError) -> None:
-    if isinstance(result, ApiError):
-        waiter.errback(result)
-    else:
-        waiter.callback(result)
+            if key in self._keys_with_body:
+                self._drop_body(key)
+            del self.run_by_key[key]
+            if run.state == "running":
+                # A run is remembered for as long as it lasts.
+                forget_at = now + defaults.KEY_WINDOW_S
+                self.run_by_key[key] = run._replace(forget_at=forget_at)
+
+
+def _refusal_of(run: Run, answer: KeptAnswer | None) -> ApiError | None:
+    """Returns why there is no answer to give, or None where there is one."""
+    if run.state == "not_run":
+        return ApiError(
+            "refused_for_good", "the call never runs under this key", "not_run"
+        )
+    if answer is None:
+        return ApiError(
+            "outcome_unknown",
+            "the target broke off; the call may have run",
+            "unknown",
+        )
+    if answer.body is None:
+        return ApiError(
+            "answer_forgotten",
+            "the call ran; its answer is kept no longer",
+            "done",
+        )
+    return None
--- a/chicorystack/errors.py
+++ b/chicorystack/errors.py
@@ -2,7 +2,7 @@
 
 from typing import Literal, NotRequired, TypedDict
 
-Outcome = Literal["rejected", "not_run", "not_completed", "unknown"]
+Outcome = Literal["rejected", "not_run", "not_completed", "unknown", "done"]
 
 # HTTP status by stable error code; docs/API.md says what to do on each.
 STATUS_BY_CODE: dict[str, int] = {
@@ -27,6 +27,8 @@
     "draining": 503,
     "epoch_closed": 409,
     "refused_for_good": 409,
+    "answer_forgotten": 410,
+    "key_expired": 409,
     "outcome_unknown": 504,
     "deadline_exceeded": 504,
     "target_failed": 502,
@@ -43,7 +45,8 @@
         outcome: What is known of the call: `rejected` (this message was
             refused before its key was looked at), `not_run` (it has not run
             and never will under this key), `not_completed` (repeatable; send
-            it again), `unknown` (it may have run).
+            it again), `unknown` (it may have run), `done` (it has run, and
+            its answer is not kept).
         retry_after_ms: When to come back, in milliseconds.
     """
 
--- a/chicorystack/router/admission.py
+++ b/chicorystack/router/admission.py
@@ -35,6 +35,7 @@
         max_tokens: Most tokens to generate; 0 for plain services.
         upper_bound: Most tokens that the call may use.
         deadline: Time on the reactor's clock when the caller gives up.
+        refuse: Whether its owner is to refuse it unless it has run.
     """
 
     service: Service
@@ -48,6 +49,7 @@
     max_tokens: int
     upper_bound: int
     deadline: float
+    refuse: bool = False
 
     def header(self, reservation: Reservation, now: float) -> CallHeader:
         """Returns the header that an agent needs."""
@@ -66,6 +68,7 @@
             max_tokens=self.max_tokens,
             priority=self.operation.priority,
             timeout_ms=max(0, int((self.deadline - now) * 1000)),
+            refuse=self.refuse,
         )
 
 
--- a/chicorystack/router/attempts.py
+++ b/chicorystack/router/attempts.py
@@ -14,6 +14,7 @@
     Forwarder,
     NotDeliveredError,
 )
+from chicorystack.router.settler import Settler
 from chicorystack.routing.targets import TargetState, TargetTable
 
 log = part_logger("attempts")
@@ -37,10 +38,17 @@
 class Attempt:
     """One attempt at one target."""
 
-    def __init__(self, clock, targets: TargetTable, forwarder: Forwarder):
+    def __init__(
+        self,
+        clock,
+        targets: TargetTable,
+        forwarder: Forwarder,
+        settler: Settler,
+    ):
         self._clock = clock
         self._targets = targets
         self._forwarder = forwarder
+        self._settler = settler
 
     async def run(
         self,
@@ -52,6 +60,8 @@
         """Delivers the target's answer; raises NotDeliveredError."""
         header = call.header(reservation, self._clock.seconds())
         self._targets.note_sent(target.name, +1)
+        if reservation.use:
+            self._settler.note_sent(reservation.use, target)
         try:
             delivered = await self._forwarder.forward(
                 target.url, header, call.body, request
@@ -99,34 +109,3 @@
             if self._clock.seconds() >= call.deadline:
                 break
         raise refusal
-
-
-class OwnerAttempts:
-    """Asks the one target that may run a call that may not be repeated."""
-
-    def __init__(self, targets: TargetTable, attempt: Attempt):
-        self._targets = targets
-        self._attempt = attempt
-
-    async def run(
-        self, request: server.Request, call: Call, reservation: Reservation
-    ) -> Delivered:
-        """Delivers the answer; raises as Attempts.run says."""
-        target = self._targets.owner(call.service, call.key)
-        if target is None:
-            raise _owner_unreachable(call)
-        try:
-            return await self._attempt.run(request, call, reservation, target)
-        except NotDeliveredError as error:
-            if error.started:
-                raise
-            raise error.refusal or _owner_unreachable(call) from error
-
-
-def _owner_unreachable(call: Call) -> ApiError:
-    return ApiError(
-        "no_target",
-        f"the target of {call.service.name} that owns this key does not answer",
-        "unknown",
-        defaults.RETRY_AFTER_MS,
-    )
--- a/chicorystack/router/dispatcher.py
+++ b/chicorystack/router/dispatcher.py
@@ -4,12 +4,14 @@
 from twisted.web import server
 
 from chicorystack import defaults
-from chicorystack.budget.client import BudgetClient
+from chicorystack.budget.wallet import Reservation
 from chicorystack.config.store import ConfigStore
 from chicorystack.errors import ApiError
 from chicorystack.router.admission import Admission, Call
 from chicorystack.router.attempts import Attempts
-from chicorystack.router.forwarder import NotDeliveredError
+from chicorystack.router.forwarder import Delivered, NotDeliveredError
+from chicorystack.router.owner_attempts import OwnerAttempts
+from chicorystack.router.settler import Settler
 
 
 class Dispatcher:
@@ -20,14 +22,14 @@
         clock,
         store: ConfigStore,
         admission: Admission,
-        budgets: BudgetClient,
+        settler: Settler,
         repeatable: Attempts,
-        single: Attempts,
+        single: OwnerAttempts,
     ):
         self._clock = clock
         self._store = store
         self._admission = admission
-        self._budgets = budgets
+        self._settler = settler
         self._repeatable = repeatable
         self._single = single
         self.in_flight = 0
@@ -60,34 +62,50 @@
         try:
             reservation = await self._admission.reserve(call)
         except ApiError as error:
-            raise _with_outcome(error, call) from error
-        used = 0
+            await self._refuse(request, call, error)
+            return
+        delivered = None
         try:
-            delivered = await self._attempts(call).run(
-                request, call, reservation
-            )
-            used = min(delivered.tokens, reservation.tokens)
+            delivered = await self._deliver(request, call, reservation)
+        finally:
+            if delivered is None:
+                self._settler.settle_later(reservation, call.key)
+            else:
+                tokens = delivered.tokens
+                self._settler.settle(reservation, call.key, tokens)
+
+    async def _deliver(
+        self, request: server.Request, call: Call, reservation: Reservation
+    ) -> Delivered | None:
+        """Returns what was delivered; None where the answer was cut."""
+        try:
+            return await self._attempts(call).run(request, call, reservation)
         except (NotDeliveredError, defer.CancelledError):
-            # What it used is not known here; charge the bound.
-            used = reservation.tokens
             request.transport.abortConnection()
         except ApiError as error:
+            return await self._refuse(request, call, error)
+        return None
+
+    async def _refuse(
+        self, request: server.Request, call: Call, error: ApiError
+    ) -> Delivered | None:
+        """Refuses a call, or delivers its answer where it has run.
+
+        Raises:
+            ApiError: With what is known of the call.
+        """
+        if call.operation.repeatable:
             raise _with_outcome(error, call) from error
-        finally:
-            wallet = self._budgets.wallet(reservation.shard)
-            wallet.settle(reservation, call.key, used)
+        try:
+            return await self._single.refuse(request, call, error)
+        except (NotDeliveredError, defer.CancelledError):
+            request.transport.abortConnection()
+        return None
 
 
 def _with_outcome(error: ApiError, call: Call) -> ApiError:
-    """Adds what is known of the call to a refusal that does not say it.
-
-    Only the owner of a key knows that a call with a caller's key has not run
-    at another router, so such a refusal claims less.
-    """
+    """Adds what is known of a repeatable call to a refusal."""
     if error.outcome is not None:
         return error
-    if call.operation.repeatable:
-        outcome = "not_completed" if call.key_given else "not_run"
-    else:
-        outcome = "unknown"
+    outcome = "not_completed" if call.key_given else "not_run"
     return ApiError(error.code, error.message, outcome, error.retry_after_ms)
--- a/chicorystack/router/forwarder.py
+++ b/chicorystack/router/forwarder.py
@@ -18,7 +18,7 @@
     EndRecord,
 )
 from chicorystack.errors import ApiError, ChicoryError, ErrorReply
-from chicorystack.observe.invariants import require
+from chicorystack.observe.invariants import InvariantError, require
 from chicorystack.web.client import BytesProducer, make_http_agent
 from chicorystack.web.server import FLEET_TOKEN_HEADER
 
@@ -85,6 +85,14 @@
             self.finished.callback(bool(reason.check(ResponseDone)))
 
 
+class AbortingReader(protocol.Protocol):
+    """Closes a connection whose answer is of no use."""
+
+    def connectionMade(self) -> None:
+        """Closes the connection, so that it is never used again."""
+        self.transport.abortConnection()
+
+
 class Forwarder:
     """Exchanges calls and answers with agents."""
 
@@ -104,13 +112,11 @@
         response = await self._send(url, call, body)
         if not response.headers.hasHeader(ANSWER_HEADER):
             raise await _refusal(response)
-        raw = response.headers.getRawHeaders(ANSWER_HEADER)[0]
-        answer = answer_decoder.decode(raw)
-        require(
-            "answer_is_for_this_call",
-            answer["key"] == call["key"],
-            f"asked for {call['key']}, got {answer['key']}",
-        )
+        try:
+            answer = _answer_to(call, response)
+        except (msgspec.DecodeError, InvariantError) as error:
+            response.deliverBody(AbortingReader())
+            raise NotDeliveredError(f"{url}: {error}", False) from error
         return await self._relay(response, answer, request)
 
     async def _send(self, url: str, call: CallHeader, body: bytes):
@@ -125,10 +131,7 @@
             answering = self._http.request(
                 b"POST", f"{url}/run".encode(), headers, BytesProducer(body)
             )
-            answering.addTimeout(
-                min(defaults.ANSWER_START_TIMEOUT_S, call["timeout_ms"] / 1000),
-                self._reactor,
-            )
+            answering.addTimeout(_start_timeout_s(call), self._reactor)
             return await answering
         except defer.CancelledError:
             raise
@@ -153,6 +156,30 @@
         return Delivered(_end_record(relay.tail)["tokens"], answer["use"])
 
 
+def _answer_to(call: CallHeader, response) -> AnswerHeader:
+    """Returns the header of an answer, which must be for this call."""
+    raw = response.headers.getRawHeaders(ANSWER_HEADER)[0]
+    answer = answer_decoder.decode(raw)
+    require(
+        "answer_is_for_this_call",
+        answer["key"] == call["key"],
+        f"asked for {call['key']}, got {answer['key']}",
+    )
+    return answer
+
+
+def _start_timeout_s(call: CallHeader) -> float:
+    """Returns how long to wait for an answer's first byte, in seconds.
+
+    Only the owner of an unrepeatable call can answer it, so there is nobody
+    else to ask before the deadline. The owner itself says when it is reached.
+    """
+    left_s = call["timeout_ms"] / 1000
+    if call["repeatable"]:
+        return min(defaults.ANSWER_START_TIMEOUT_S, left_s)
+    return left_s + defaults.CONNECT_TIMEOUT_S
+
+
 def _end_record(tail: bytes) -> EndRecord:
     _, found, data = tail.rpartition(END_EVENT_PREFIX)
     if not found:
--- a/chicorystack/router/main.py
+++ b/chicorystack/router/main.py
@@ -16,15 +16,13 @@
 from chicorystack.platform.log_client import LogClient, LogFollower
 from chicorystack.platform.vm_list import VmListPoller
 from chicorystack.router.admission import Admission
-from chicorystack.router.attempts import (
-    Attempt,
-    OwnerAttempts,
-    RepeatableAttempts,
-)
+from chicorystack.router.attempts import Attempt, RepeatableAttempts
 from chicorystack.router.auth import CustomerDirectory
 from chicorystack.router.dispatcher import Dispatcher
 from chicorystack.router.forwarder import Forwarder
+from chicorystack.router.owner_attempts import OwnerAttempts
 from chicorystack.router.resources import caller_tree
+from chicorystack.router.settler import Settler
 from chicorystack.routing.targets import TargetTable
 from chicorystack.settings.loader import run_program, settings_command
 from chicorystack.settings.types import RouterSettings
@@ -77,16 +75,20 @@
         self._budgets = BudgetClient(reactor, locator)
         customers = CustomerDirectory(reactor, self._budgets)
         admission = Admission(reactor, settings.site, customers, self._budgets)
+        settler = Settler(reactor, self._client, self._targets, self._budgets)
         attempt = Attempt(
-            reactor, self._targets, Forwarder(reactor, settings.fleet_token)
+            reactor,
+            self._targets,
+            Forwarder(reactor, settings.fleet_token),
+            settler,
         )
         self._dispatcher = Dispatcher(
             reactor,
             self._store,
             admission,
-            self._budgets,
+            settler,
             RepeatableAttempts(reactor, self._targets, attempt),
-            OwnerAttempts(self._targets, attempt),
+            OwnerAttempts(reactor, self._targets, attempt),
         )
         self._store.on_change(lambda _: self._update_targets())
         self._vm_list.on_change(self._update_targets)
