Deliver only whole answers of one's own, and cancel abandoned work

Cause: twisted's response transport has no abortConnection, so a caller that left never cancelled the engine's work (AttributeError in the agent's log) and a foreign answer ended as an error without an outcome. An agent's refusal did not name its key, so a crossed 'not run' could pass for ours. Change: work and connections are ended with loseConnection; refusals and usage replies name what they are for and are checked; a stream that breaks ends with an error event and no last chunk; agents and routers flush what was passed on before they cut, so that tokens billed are tokens delivered. Red first: with the key checks out, test_crossed_answers_reach_no_foreign_caller fails (cross-15's answer went to another caller); before the change, test_caller_that_leaves_pays_for_what_was_generated waited in vain for the cancel, and 104 - 96 tokens were billed where the caller had 7.

--- a/chicorystack/agent/gate.py
+++ b/chicorystack/agent/gate.py
@@ -7,6 +7,7 @@
 from chicorystack.agent.service_calls import ServiceCalls
 from chicorystack.calls.messages import (
     CALL_HEADER,
+    KEY_HEADER,
     CallHeader,
     Empty,
     EngineLoad,
@@ -77,6 +78,8 @@
     async def _handle(self, request: server.Request) -> None:
         self._authorize(request)
         call = _decode_call(request)
+        # Refusals carry the key, too: a crossed one must not pass for ours.
+        request.setHeader(KEY_HEADER, call["key"])
         service = self._service()
         if service is None:
             raise ApiError("not_ready", "the agent has no configuration yet")
--- a/chicorystack/agent/generations.py
+++ b/chicorystack/agent/generations.py
@@ -1,5 +1,7 @@
 """Runs calls of a model engine and streams their answers."""
 
+from collections.abc import Callable
+
 import msgspec
 from twisted.internet import defer
 from twisted.web import server
@@ -10,6 +12,7 @@
     TargetClient,
     TargetFailedError,
 )
+from chicorystack.calls.kept_streams import KeptStreams
 from chicorystack.calls.messages import (
     END_EVENT_PREFIX,
     EVENT_END,
@@ -20,6 +23,7 @@
     EngineRequest,
     GenerateBody,
 )
+from chicorystack.calls.run_table import KeptAnswer, body_hash
 from chicorystack.calls.usage_table import UsageTable
 from chicorystack.errors import ApiError
 from chicorystack.observe.logs import part_logger
@@ -36,14 +40,49 @@
         in_flight: Generations given to the engine and not finished.
     """
 
-    def __init__(self, target: TargetClient, usage: UsageTable):
+    def __init__(
+        self, target: TargetClient, usage: UsageTable, kept: KeptStreams
+    ):
         self._target = target
         self._usage = usage
+        self._kept = kept
         self.in_flight = 0
 
     async def serve(self, request: server.Request, call: CallHeader) -> None:
-        """Runs a generation and streams its answer with an end record."""
+        """Streams an answer with an end record, kept or newly generated."""
         body = read_body(request, GenerateBody)
+        content = body_hash(call["operation"], msgspec.json.encode(body))
+        answer = self._kept.find(call, content)
+        if answer is not None:
+            self._begin_answer(request, call, answer.use)
+            request.write(answer.body)
+            _finish(request, answer.tokens)
+            return
+        chunks: list[bytes] = []
+
+        def pass_on(data: bytes) -> None:
+            request.write(data)
+            if call.get("keep_answer"):
+                chunks.append(data)
+
+        try:
+            used = await self._generate(request, call, body, pass_on)
+        except TargetFailedError as error:
+            _break_off(request, error)
+            return
+        if call.get("keep_answer"):
+            answer = KeptAnswer(200, b"".join(chunks), used, call["use"])
+            self._kept.keep(call, content, answer)
+        _finish(request, used)
+
+    async def _generate(
+        self,
+        request: server.Request,
+        call: CallHeader,
+        body: GenerateBody,
+        pass_on: Callable[[bytes], None],
+    ) -> int:
+        """Runs a generation and returns the tokens that it used."""
         engine_request = EngineRequest(
             prompt=body["prompt"],
             max_tokens=call["max_tokens"],
@@ -52,42 +91,43 @@
         readers: list[StreamReader] = []
 
         def start(reader: StreamReader) -> None:
-            self._begin_answer(request, call)
+            self._begin_answer(request, call, call["use"])
             readers.append(reader)
             gone = request.notifyFinish()
-            gone.addErrback(lambda _: reader.transport.abortConnection())
+            gone.addErrback(lambda _: reader.transport.loseConnection())
 
         self._usage.begin(call["use"], request.transport.abortConnection)
         self.in_flight += 1
         used = 0
         try:
-            usage = await self._target.generate(
-                engine_request, start, request.write
-            )
+            usage = await self._target.generate(engine_request, start, pass_on)
             tokens = usage["prompt_tokens"] + usage["completion_tokens"]
             used = tokens + call["cost_tokens"]
-        except TargetFailedError as error:
-            used = _used_until_cut(call, readers)
-            _break_off(request, error)
-            return
-        except defer.CancelledError:
+        except (TargetFailedError, defer.CancelledError):
             used = _used_until_cut(call, readers)
             raise
         finally:
             self.in_flight -= 1
             self._usage.end(call["use"], used)
-        end = EndRecord(outcome="done", tokens=used)
-        request.write(END_EVENT_PREFIX + encoder.encode(end) + EVENT_END)
-        request.finish()
+        return used
 
-    def _begin_answer(self, request: server.Request, call: CallHeader) -> None:
+    def _begin_answer(
+        self, request: server.Request, call: CallHeader, use: str
+    ) -> None:
         header = AnswerHeader(
-            key=call["key"], use=call["use"], in_flight=self.in_flight
+            key=call["key"], use=use, in_flight=self.in_flight
         )
         set_answer_header(request, header)
         request.setHeader(b"content-type", EVENT_STREAM.encode())
 
 
+def _finish(request: server.Request, tokens: int) -> None:
+    """Ends an answer with the record that tells it whole."""
+    end = EndRecord(outcome="done", tokens=tokens)
+    request.write(END_EVENT_PREFIX + encoder.encode(end) + EVENT_END)
+    request.finish()
+
+
 def _used_until_cut(call: CallHeader, readers: list[StreamReader]) -> int:
     """Returns what a generation used that broke off or was cancelled.
 
@@ -104,6 +144,7 @@
     """Ends an answer so that it can't be taken for a whole one."""
     if request.startedWriting:
         log.warning("answer broken off: {}", error)
-        request.transport.abortConnection()
+        # Without a last chunk, but with all events before.
+        request.transport.loseConnection()
         return
     raise ApiError("target_failed", str(error)) from error
--- a/chicorystack/agent/main.py
+++ b/chicorystack/agent/main.py
@@ -9,6 +9,7 @@
 from chicorystack.agent.generations import Generations
 from chicorystack.agent.service_calls import ServiceCalls
 from chicorystack.agent.target_client import TargetClient
+from chicorystack.calls.kept_streams import KeptStreams
 from chicorystack.calls.messages import Empty, EngineLoad
 from chicorystack.calls.run_table import RunTable
 from chicorystack.calls.usage_table import SettleRequest, UsageTable
@@ -51,7 +52,7 @@
         self._gate = Gate(
             settings,
             self._store,
-            Generations(target, usage),
+            Generations(target, usage, KeptStreams(reactor)),
             ServiceCalls(reactor, target, RunTable(reactor), usage),
             authorize,
         )
--- a/chicorystack/calls/messages.py
+++ b/chicorystack/calls/messages.py
@@ -6,6 +6,8 @@
 
 CALL_HEADER = "chicory-call"
 ANSWER_HEADER = "chicory-answer"
+# Key of the call that an agent's refusal is for.
+KEY_HEADER = "chicory-key"
 EVENT_STREAM = "text/event-stream"
 JSON_CONTENT = "application/json"
 
@@ -13,6 +15,8 @@
 EVENT_END = b"\n\n"
 # Begins the last event of a complete stream.
 END_EVENT_PREFIX = b"event: end\ndata: "
+# Begins the last event of a stream that broke off.
+ERROR_EVENT_PREFIX = b"event: error\ndata: "
 
 AnswerOutcome = Literal["done", "cancelled"]
 
@@ -36,6 +40,7 @@
         priority: Order in which the target takes calls.
         timeout_ms: Time left to the caller's deadline; the receiver turns it
             into a deadline on its own clock at once.
+        keep_answer: Whether the caller gave the key and so may ask again.
         refuse: Whether the call is to be refused for good unless it has run.
     """
 
@@ -53,6 +58,7 @@
     max_tokens: int
     priority: Priority
     timeout_ms: int
+    keep_answer: NotRequired[bool]
     refuse: NotRequired[bool]
 
 
--- a/chicorystack/calls/usage_table.py
+++ b/chicorystack/calls/usage_table.py
@@ -24,12 +24,14 @@
     """What a run used.
 
     Attributes:
+        use: Id of the run.
         state: `never_ran` means that it never will.
         tokens: Tokens used, where the state is `ended`.
         age_ms: How long this agent's process has been up; it knows of no
             run that is older.
     """
 
+    use: str
     state: UseState
     tokens: int
     age_ms: int
@@ -99,7 +101,10 @@
             use = self._use_by_id[request["use"]]
         age_s = self._clock.seconds() - self._started_at
         return SettleReply(
-            state=use.state, tokens=use.tokens, age_ms=int(age_s * 1000)
+            use=request["use"],
+            state=use.state,
+            tokens=use.tokens,
+            age_ms=int(age_s * 1000),
         )
 
     def _forget_at(self) -> float:
--- a/chicorystack/router/admission.py
+++ b/chicorystack/router/admission.py
@@ -68,6 +68,7 @@
             max_tokens=self.max_tokens,
             priority=self.operation.priority,
             timeout_ms=max(0, int((self.deadline - now) * 1000)),
+            keep_answer=self.key_given,
             refuse=self.refuse,
         )
 
--- a/chicorystack/router/dispatcher.py
+++ b/chicorystack/router/dispatcher.py
@@ -9,7 +9,11 @@
 from chicorystack.errors import ApiError
 from chicorystack.router.admission import Admission, Call
 from chicorystack.router.attempts import Attempts
-from chicorystack.router.forwarder import Delivered, NotDeliveredError
+from chicorystack.router.forwarder import (
+    Delivered,
+    NotDeliveredError,
+    break_off_answer,
+)
 from chicorystack.router.owner_attempts import OwnerAttempts
 from chicorystack.router.settler import Settler
 
@@ -81,7 +85,7 @@
         try:
             return await self._attempts(call).run(request, call, reservation)
         except (NotDeliveredError, defer.CancelledError):
-            request.transport.abortConnection()
+            break_off_answer(request)
         except ApiError as error:
             return await self._refuse(request, call, error)
         return None
@@ -99,7 +103,7 @@
         try:
             return await self._single.refuse(request, call, error)
         except (NotDeliveredError, defer.CancelledError):
-            request.transport.abortConnection()
+            break_off_answer(request)
         return None
 
 
--- a/chicorystack/router/forwarder.py
+++ b/chicorystack/router/forwarder.py
@@ -12,7 +12,10 @@
     ANSWER_HEADER,
     CALL_HEADER,
     END_EVENT_PREFIX,
+    ERROR_EVENT_PREFIX,
+    EVENT_END,
     EVENT_STREAM,
+    KEY_HEADER,
     AnswerHeader,
     CallHeader,
     EndRecord,
@@ -66,7 +69,7 @@
         self.finished: defer.Deferred[bool] = defer.Deferred(self._cancel)
 
     def _cancel(self, _deferred) -> None:
-        self.transport.abortConnection()
+        self.transport.loseConnection()
 
     def connectionMade(self) -> None:
         """Lets a slow caller slow the agent down."""
@@ -85,12 +88,34 @@
             self.finished.callback(bool(reason.check(ResponseDone)))
 
 
+def break_off_answer(request: server.Request) -> None:
+    """Ends an answer so that no client takes it for a whole one.
+
+    A stream gets an error event. The connection then closes without the last
+    chunk, or before the length that was announced. HTTP/1.0 knows neither,
+    so that only a reset tells.
+    """
+    if request._disconnected:
+        return
+    if request.clientproto != b"HTTP/1.1":
+        request.transport.abortConnection()
+        return
+    content = request.responseHeaders.getRawHeaders(b"content-type", [b""])[0]
+    if content.decode() == EVENT_STREAM:
+        error = ApiError(
+            "target_failed", "the answer broke off", "not_completed"
+        )
+        event = msgspec.json.encode(error.reply())
+        request.write(ERROR_EVENT_PREFIX + event + EVENT_END)
+    request.transport.loseConnection()
+
+
 class AbortingReader(protocol.Protocol):
     """Closes a connection whose answer is of no use."""
 
     def connectionMade(self) -> None:
         """Closes the connection, so that it is never used again."""
-        self.transport.abortConnection()
+        self.transport.loseConnection()
 
 
 class Forwarder:
@@ -111,7 +136,7 @@
         """
         response = await self._send(url, call, body)
         if not response.headers.hasHeader(ANSWER_HEADER):
-            raise await _refusal(response)
+            raise await _refusal(call, response)
         try:
             answer = _answer_to(call, response)
         except (msgspec.DecodeError, InvariantError) as error:
@@ -187,11 +212,17 @@
     return end_decoder.decode(data)
 
 
-async def _refusal(response) -> NotDeliveredError:
+async def _refusal(call: CallHeader, response) -> NotDeliveredError:
     """Turns an agent's refusal into an error."""
+    key = response.headers.getRawHeaders(KEY_HEADER, [""])[0]
     try:
         payload = await client.readBody(response)
         body = error_decoder.decode(payload)["error"]
+        require(
+            "refusal_is_for_this_call",
+            key == call["key"],
+            f"asked for {call['key']}, got {key or 'none'}",
+        )
     except Exception as error:
         return NotDeliveredError(f"unreadable refusal: {error!r}", False)
     refusal = ApiError(
--- a/chicorystack/router/settler.py
+++ b/chicorystack/router/settler.py
@@ -103,12 +103,14 @@
     async def _ask(self, use: str, target: str) -> SettleReply | None:
         url = f"{self._targets.target_by_name[target].url}/settle"
         try:
-            return await self._client.post(
+            reply = await self._client.post(
                 url, SettleRequest(use=use), SettleReply
             )
         except (UnreachableError, ApiError) as error:
             log.info("no usage of {} yet: {}", use, error)
             return None
+        # An answer about another run says nothing.
+        return reply if reply["use"] == use else None
 
 
 def _log_failure(failure) -> None:
