--- a/chicorystack/agent/service_calls.py
+++ b/chicorystack/agent/service_calls.py
@@ -9,6 +9,7 @@
 from chicorystack.calls.run_table import KeptAnswer, RunTable, body_hash
 from chicorystack.calls.usage_table import UsageTable
 from chicorystack.errors import ApiError
+from chicorystack.observe.decisions import decisions
 from chicorystack.observe.logs import part_logger
 
 log = part_logger("service-calls")
@@ -49,8 +50,14 @@
         body = _body(request)
         content = body_hash(call["operation"], body)
         if call.get("refuse"):
-            self._runs.refuse(call, content)
-        elif self._begin(call, content):
+            refused = self._runs.refuse(call, content)
+            begun = False
+            decision = "tombstone" if refused else "known; not refused"
+        else:
+            begun = self._begin(call, content)
+            decision = "run" if begun else "not run again; kept answer"
+        decisions.record(call["key"], "run-table", decision, call["use"])
+        if begun:
             # Detached: the run goes on when the router or its caller goes.
             defer.ensureDeferred(self._execute_once(call, body))
         answer = await self._answer_in_time(call)
--- a/chicorystack/calls/messages.py
+++ b/chicorystack/calls/messages.py
@@ -42,6 +42,7 @@
             into a deadline on its own clock at once.
         keep_answer: Whether the caller gave the key and so may ask again.
         refuse: Whether the call is to be refused for good unless it has run.
+        config_version: Configuration in force at the router.
     """
 
     site: str
@@ -60,6 +61,7 @@
     timeout_ms: int
     keep_answer: NotRequired[bool]
     refuse: NotRequired[bool]
+    config_version: NotRequired[int]
 
 
 class AnswerHeader(TypedDict):
@@ -100,6 +102,7 @@
         in_flight: Calls that the agent has given to the target.
         running: Calls running, as the target last said.
         queued: Calls waiting, as the target last said.
+        config_version: Configuration in force at the agent.
     """
 
     target: str
@@ -107,6 +110,7 @@
     in_flight: int
     running: int
     queued: int
+    config_version: int
 
 
 class Empty(TypedDict):
--- a/chicorystack/router/admission.py
+++ b/chicorystack/router/admission.py
@@ -36,6 +36,7 @@
         upper_bound: Most tokens that the call may use.
         deadline: Time on the reactor's clock when the caller gives up.
         refuse: Whether its owner is to refuse it unless it has run.
+        config_version: Configuration that the call was checked by.
     """
 
     service: Service
@@ -49,6 +50,7 @@
     max_tokens: int
     upper_bound: int
     deadline: float
+    config_version: int
     refuse: bool = False
 
     def header(self, reservation: Reservation, now: float) -> CallHeader:
@@ -70,6 +72,7 @@
             timeout_ms=max(0, int((self.deadline - now) * 1000)),
             keep_answer=self.key_given,
             refuse=self.refuse,
+            config_version=self.config_version,
         )
 
 
@@ -124,6 +127,7 @@
             max_tokens=max_tokens,
             upper_bound=bound + operation.cost_tokens,
             deadline=received + _timeout_ms(request) / 1000,
+            config_version=config.version,
         )
 
     async def reserve(self, call: Call) -> Reservation:
--- a/chicorystack/router/dispatcher.py
+++ b/chicorystack/router/dispatcher.py
@@ -5,8 +5,11 @@
 
 from chicorystack import defaults
 from chicorystack.budget.wallet import Reservation
+from chicorystack.config.model import FleetConfig
 from chicorystack.config.store import ConfigStore
 from chicorystack.errors import ApiError
+from chicorystack.observe.metrics import metrics
+from chicorystack.router import call_log
 from chicorystack.router.admission import Admission, Call
 from chicorystack.router.attempts import Attempts
 from chicorystack.router.forwarder import (
@@ -17,6 +20,9 @@
 from chicorystack.router.owner_attempts import OwnerAttempts
 from chicorystack.router.settler import Settler
 
+# Names a request to operators, who ask `chicory-ctl explain` for its story.
+REQUEST_HEADER = b"chicory-request"
+
 
 class Dispatcher:
     """Serves calls of one router."""
@@ -45,6 +51,7 @@
         self, request: server.Request, service: str, operation: str
     ) -> None:
         """Serves one call; raises ApiError for the caller."""
+        metrics.count("calls.received")
         config = self._store.config
         if config.version == 0:
             raise ApiError(
@@ -55,22 +62,41 @@
             )
         self.in_flight += 1
         try:
-            call = await self._admission.check(
-                request, config, service, operation
-            )
+            call = await self._check(request, config, service, operation)
             await self._serve_checked(request, call)
         finally:
             self.in_flight -= 1
 
+    async def _check(
+        self,
+        request: server.Request,
+        config: FleetConfig,
+        service: str,
+        operation: str,
+    ) -> Call:
+        try:
+            return await self._admission.check(
+                request, config, service, operation
+            )
+        except ApiError as error:
+            call_log.note_rejected(request, error)
+            raise
+
     async def _serve_checked(self, request: server.Request, call: Call) -> None:
+        request.setHeader(REQUEST_HEADER, call.key.encode())
+        started = self._clock.seconds()
         try:
             reservation = await self._admission.reserve(call)
         except ApiError as error:
             await self._refuse(request, call, error)
             return
+        call_log.note_reserved(call, reservation)
         delivered = None
         try:
             delivered = await self._deliver(request, call, reservation)
+            if delivered is not None:
+                duration_s = self._clock.seconds() - started
+                call_log.note_answered(call, delivered, duration_s)
         finally:
             if delivered is None:
                 self._settler.settle_later(reservation, call.key)
@@ -84,7 +110,8 @@
         """Returns what was delivered; None where the answer was cut."""
         try:
             return await self._attempts(call).run(request, call, reservation)
-        except (NotDeliveredError, defer.CancelledError):
+        except (NotDeliveredError, defer.CancelledError) as cut:
+            _note_cut(call, cut)
             break_off_answer(request)
         except ApiError as error:
             return await self._refuse(request, call, error)
@@ -99,14 +126,32 @@
             ApiError: With what is known of the call.
         """
         if call.operation.repeatable:
-            raise _with_outcome(error, call) from error
+            raise _refusal(error, call) from error
         try:
             return await self._single.refuse(request, call, error)
-        except (NotDeliveredError, defer.CancelledError):
+        except ApiError as refusal:
+            call_log.note_refused(call, refusal)
+            raise
+        except (NotDeliveredError, defer.CancelledError) as cut:
+            _note_cut(call, cut)
             break_off_answer(request)
         return None
 
 
+def _note_cut(call: Call, error: BaseException) -> None:
+    if isinstance(error, defer.CancelledError):
+        call_log.note_abandoned(call)
+    else:
+        call_log.note_broken_off(call, error)
+
+
+def _refusal(error: ApiError, call: Call) -> ApiError:
+    """Returns the refusal that the caller gets, and notes it."""
+    refusal = _with_outcome(error, call)
+    call_log.note_refused(call, refusal)
+    return refusal
+
+
 def _with_outcome(error: ApiError, call: Call) -> ApiError:
     """Adds what is known of a repeatable call to a refusal."""
     if error.outcome is not None:
--- a/chicorystack/web/server.py
+++ b/chicorystack/web/server.py
@@ -6,13 +6,14 @@
 from typing import Generic, Protocol, TypeVar
 
 import msgspec
-from twisted.internet import defer
+from twisted.internet import defer, error
 from twisted.internet.interfaces import IReactorTCP
 from twisted.web import http, resource, server
 
 from chicorystack import defaults
-from chicorystack.errors import ApiError
+from chicorystack.errors import ApiError, UserError
 from chicorystack.observe.logs import part_logger
+from chicorystack.web.channel import BoundedSite, max_connections
 
 log = part_logger("web")
 encoder = msgspec.json.Encoder()
@@ -21,6 +22,10 @@
 FLEET_TOKEN_HEADER = "chicory-fleet-token"
 
 
+class ListenError(UserError):
+    """The address or port is not to be had."""
+
+
 class LimitedRequest(server.Request):
     """A request whose body may not exceed the fixed limit.
 
@@ -37,7 +42,7 @@
             return
         self._too_large = length > defaults.MAX_BODY_BYTES
         if length > defaults.MAX_DROPPED_BODY_BYTES:
-            self.channel.loseConnection()
+            self.channel.refuse(_body_too_large())
 
     def handleContentChunk(self, data: bytes) -> None:
         """Keeps a part of the body, while the body is within the limit."""
@@ -51,27 +56,47 @@
         if not self._too_large:
             super().process()
             return
-        limit = defaults.MAX_BODY_BYTES
-        message = f"the body exceeds {limit} bytes"
-        send_error(self, ApiError("body_too_large", message, "rejected"))
+        send_error(self, _body_too_large())
+
+    def processingFailed(self, reason) -> None:
+        """Answers a failure of the program itself with a typed refusal."""
+        _answer_failure(reason, self)
+
+
+def _body_too_large() -> ApiError:
+    message = f"the body exceeds {defaults.MAX_BODY_BYTES} bytes"
+    return ApiError("body_too_large", message, "rejected")
 
 
 def listen(
     reactor: IReactorTCP, root: resource.Resource, address: str, port: int
 ):
     """Serves root over HTTP and returns the listening port."""
-    site = server.Site(root, timeout=defaults.HTTP_IDLE_TIMEOUT_S)
-    site.requestFactory = LimitedRequest
-    site.noisy = False
-    return reactor.listenTCP(port, site, interface=address, backlog=512)
+    site = BoundedSite(
+        root, max_connections(), requestFactory=LimitedRequest, reactor=reactor
+    )
+    try:
+        return reactor.listenTCP(port, site, interface=address, backlog=512)
+    except error.CannotListenError as failure:
+        raise ListenError(
+            f"can't listen on {address}:{port}: {failure.socketError}"
+        ) from failure
 
 
 def header(request: server.Request, name: str) -> str | None:
-    """Returns a request header as text, or None where it is absent."""
-    value = request.getHeader(name)
+    """Returns a request header as text, or None where it is absent.
+
+    Raises:
+        ApiError: `bad_request` where the header is not UTF-8.
+    """
+    value = request.getHeader(name.encode())
     if value is None:
         return None
-    return value.decode("latin-1") if isinstance(value, bytes) else value
+    try:
+        return value.decode()
+    except UnicodeDecodeError as cause:
+        message = f"the header {name} is not UTF-8"
+        raise ApiError("bad_request", message, "rejected") from cause
 
 
 def send_json(request: server.Request, status: int, message: object) -> None:
@@ -84,12 +109,12 @@
     request.finish()
 
 
-def send_error(request: server.Request, error: ApiError) -> None:
+def send_error(request: server.Request, refusal: ApiError) -> None:
     """Answers with a typed refusal and, where it helps, Retry-After."""
-    if error.retry_after_ms is not None:
-        seconds = max(1, -(-error.retry_after_ms // 1000))
+    if refusal.retry_after_ms is not None:
+        seconds = max(1, -(-refusal.retry_after_ms // 1000))
         request.setHeader(b"retry-after", str(seconds).encode())
-    send_json(request, error.status, error.reply())
+    send_json(request, refusal.status, refusal.reply())
 
 
 def read_body(request: server.Request, body_type: type[BodyT]) -> BodyT:
@@ -101,8 +126,8 @@
     request.content.seek(0)
     try:
         return msgspec.json.decode(request.content.read(), type=body_type)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        raise ApiError("bad_request", f"body: {error}", "rejected") from error
+    except (msgspec.DecodeError, UnicodeDecodeError) as cause:
+        raise ApiError("bad_request", f"body: {cause}", "rejected") from cause
 
 
 def run_handler(request: server.Request, coroutine: Awaitable[object]) -> int:
@@ -152,6 +177,16 @@
     """Lets every request pass."""
 
 
+def refuse_method(request: server.Request, allowed: str) -> int:
+    """Refuses a method that the path does not offer."""
+    request.setHeader(b"allow", allowed.encode())
+    send_error(
+        request,
+        ApiError("method_not_allowed", f"use {allowed} here", "rejected"),
+    )
+    return server.NOT_DONE_YET
+
+
 class JsonEndpoint(resource.Resource, Generic[BodyT]):
     """One URL that takes a typed JSON message and answers with another.
 
@@ -171,13 +206,12 @@
         self._handler = handler
         self._authorize = authorize
 
-    def render_POST(self, request: server.Request) -> int:
-        """Handles a message sent as the body."""
-        return run_handler(request, self._handle(request, read_body))
-
-    def render_GET(self, request: server.Request) -> int:
-        """Handles a message sent as query arguments."""
-        return run_handler(request, self._handle(request, read_query))
+    def render(self, request: server.Request) -> int:
+        """Handles a message sent as the body or as query arguments."""
+        read = READER_BY_METHOD.get(request.method)
+        if read is None:
+            return refuse_method(request, "GET or POST")
+        return run_handler(request, self._handle(request, read))
 
     async def _handle(self, request: server.Request, read) -> None:
         self._authorize(request)
@@ -198,8 +232,11 @@
     }
     try:
         return msgspec.convert(fields, body_type, strict=False)
-    except msgspec.ValidationError as error:
-        raise ApiError("bad_request", f"query: {error}", "rejected") from error
+    except msgspec.ValidationError as cause:
+        raise ApiError("bad_request", f"query: {cause}", "rejected") from cause
+
+
+READER_BY_METHOD = {b"POST": read_body, b"GET": read_query, b"HEAD": read_query}
 
 
 class NotFound(resource.Resource):
