--- a/chicorystack/router/dispatcher.py
+++ b/chicorystack/router/dispatcher.py
@@ -4,7 +4,7 @@
 from twisted.web import server
 
 from chicorystack import defaults
-from chicorystack.budget.client import BudgetClient
+from chicorystack.budget.wallet import Reservation
 from chicorystack.config.model import FleetConfig
 from chicorystack.config.store import ConfigStore
 from chicorystack.errors import ApiError
@@ -12,7 +12,13 @@
 from chicorystack.router import call_log
 from chicorystack.router.admission import Admission, Call
 from chicorystack.router.attempts import Attempts
-from chicorystack.router.forwarder import NotDeliveredError
+from chicorystack.router.forwarder import (
+    Delivered,
+    NotDeliveredError,
+    break_off_answer,
+)
+from chicorystack.router.owner_attempts import OwnerAttempts
+from chicorystack.router.settler import Settler
 
 # Names a request to operators, who ask `chicory-ctl explain` for its story.
 REQUEST_HEADER = b"chicory-request"
@@ -26,14 +32,14 @@
         clock,
         store: ConfigStore,
         admission: Admission,
-        budgets: BudgetClient,
+        settler: Settler,
         repeatable: Attempts,
-        single: Attempts,
+        single: OwnerAttempts,
     ):
         self._clock = clock
         self._store = store
         self._admission = admission
-        self._budgets = budgets
+        self._settler = settler
         self._repeatable = repeatable
         self._single = single
         self.in_flight = 0
@@ -82,26 +88,54 @@
         try:
             reservation = await self._admission.reserve(call)
         except ApiError as error:
-            raise _refusal(error, call) from error
+            await self._refuse(request, call, error)
+            return
         call_log.note_reserved(call, reservation)
-        used = 0
+        delivered = None
         try:
-            delivered = await self._attempts(call).run(
-                request, call, reservation
-            )
-            used = min(delivered.tokens, reservation.tokens)
-            duration_s = self._clock.seconds() - started
-            call_log.note_answered(call, delivered, duration_s)
-        except (NotDeliveredError, defer.CancelledError) as error:
-            # What it used is not known here; charge the bound.
-            used = reservation.tokens
-            _note_cut(call, error)
-            request.transport.abortConnection()
+            delivered = await self._deliver(request, call, reservation)
+            if delivered is not None:
+                duration_s = self._clock.seconds() - started
+                call_log.note_answered(call, delivered, duration_s)
+        finally:
+            if delivered is None:
+                self._settler.settle_later(reservation, call.key)
+            else:
+                tokens = delivered.tokens
+                self._settler.settle(reservation, call.key, tokens)
+
+    async def _deliver(
+        self, request: server.Request, call: Call, reservation: Reservation
+    ) -> Delivered | None:
+        """Returns what was delivered; None where the answer was cut."""
+        try:
+            return await self._attempts(call).run(request, call, reservation)
+        except (NotDeliveredError, defer.CancelledError) as cut:
+            _note_cut(call, cut)
+            break_off_answer(request)
         except ApiError as error:
+            return await self._refuse(request, call, error)
+        return None
+
+    async def _refuse(
+        self, request: server.Request, call: Call, error: ApiError
+    ) -> Delivered | None:
+        """Refuses a call, or delivers its answer where it has run.
+
+        Raises:
+            ApiError: With what is known of the call.
+        """
+        if call.operation.repeatable:
             raise _refusal(error, call) from error
-        finally:
-            wallet = self._budgets.wallet(reservation.shard)
-            wallet.settle(reservation, call.key, used)
+        try:
+            return await self._single.refuse(request, call, error)
+        except ApiError as refusal:
+            call_log.note_refused(call, refusal)
+            raise
+        except (NotDeliveredError, defer.CancelledError) as cut:
+            _note_cut(call, cut)
+            break_off_answer(request)
+        return None
 
 
 def _note_cut(call: Call, error: BaseException) -> None:
@@ -119,15 +153,8 @@
 
 
 def _with_outcome(error: ApiError, call: Call) -> ApiError:
-    """Adds what is known of the call to a refusal that does not say it.
-
-    Only the owner of a key knows that a call with a caller's key has not run
-    at another router, so such a refusal claims less.
-    """
+    """Adds what is known of a repeatable call to a refusal."""
     if error.outcome is not None:
         return error
-    if call.operation.repeatable:
-        outcome = "not_completed" if call.key_given else "not_run"
-    else:
-        outcome = "unknown"
+    outcome = "not_completed" if call.key_given else "not_run"
     return ApiError(error.code, error.message, outcome, error.retry_after_ms)
