--- a/chicorystack/agent/gate.py
+++ b/chicorystack/agent/gate.py
@@ -10,6 +10,7 @@
 from chicorystack.agent.service_calls import ServiceCalls
 from chicorystack.calls.messages import (
     CALL_HEADER,
+    KEY_HEADER,
     CallHeader,
     Empty,
     EngineLoad,
@@ -22,7 +23,12 @@
 from chicorystack.observe.metrics import metrics
 from chicorystack.quarantine.watch import DeathWatch
 from chicorystack.settings.types import AgentSettings
-from chicorystack.web.server import Authorizer, header, run_handler
+from chicorystack.web.server import (
+    Authorizer,
+    header,
+    refuse_method,
+    run_handler,
+)
 
 call_decoder = msgspec.json.Decoder(CallHeader)
 
@@ -68,8 +74,10 @@
         """Calls given to the target and not finished."""
         return self._generations.in_flight + self._service_calls.in_flight
 
-    def render_POST(self, request: server.Request) -> int:
+    def render(self, request: server.Request) -> int:
         """Handles one call."""
+        if request.method != b"POST":
+            return refuse_method(request, "POST")
         return run_handler(request, self._handle(request))
 
     async def load(self, _message: Empty) -> LoadReport:
@@ -101,6 +109,8 @@
     async def _handle(self, request: server.Request) -> None:
         self._authorize(request)
         call = _decode_call(request)
+        # Refusals carry the key, too: a crossed one must not pass for ours.
+        request.setHeader(KEY_HEADER, call["key"])
         self._note_version(call.get("config_version", 0))
         metrics.count("gate.received")
         try:
@@ -115,7 +125,7 @@
         service = self._service()
         if service is None:
             raise ApiError("not_ready", "the agent has no configuration yet")
-        if self.draining:
+        if self.draining and not call.get("refuse"):
             raise self.leaving.refusal()
         decisions.record(call["key"], "gate", "let through", call["use"])
         if service.kind == "engine":
--- a/chicorystack/router/admission.py
+++ b/chicorystack/router/admission.py
@@ -38,6 +38,7 @@
         max_tokens: Most tokens to generate; 0 for plain services.
         upper_bound: Most tokens that the call may use.
         deadline: Time on the reactor's clock when the caller gives up.
+        refuse: Whether its owner is to refuse it unless it has run.
         config_version: Configuration that the call was checked by.
         content: Short name of what is asked, whatever the key.
     """
@@ -55,6 +56,7 @@
     deadline: float
     config_version: int
     content: str
+    refuse: bool = False
 
     def header(self, reservation: Reservation, now: float) -> CallHeader:
         """Returns the header that an agent needs."""
@@ -73,6 +75,8 @@
             max_tokens=self.max_tokens,
             priority=self.operation.priority,
             timeout_ms=max(0, int((self.deadline - now) * 1000)),
+            keep_answer=self.key_given,
+            refuse=self.refuse,
             config_version=self.config_version,
         )
 
--- a/chicorystack/router/attempts.py
+++ b/chicorystack/router/attempts.py
@@ -17,6 +17,7 @@
     Forwarder,
     NotDeliveredError,
 )
+from chicorystack.router.settler import Settler
 from chicorystack.routing.targets import TargetState, TargetTable
 
 log = part_logger("attempts")
@@ -46,11 +47,13 @@
         targets: TargetTable,
         forwarder: Forwarder,
         sentry: Sentry,
+        settler: Settler,
     ):
         self._clock = clock
         self._targets = targets
         self._forwarder = forwarder
         self._sentry = sentry
+        self._settler = settler
 
     async def run(
         self,
@@ -65,12 +68,14 @@
             NotDeliveredError: If there is none, or it broke off underway.
             ApiError: `quarantined`.
         """
-        self._sentry.strikes.check(call.content)
+        self._check_quarantine(call)
         target = self._assign(call, target)
         header = call.header(reservation, self._clock.seconds())
         header["strikes"] = self._sentry.strikes.messages(call.content)
         asked_at = self._clock.seconds()
         self._targets.note_sent(target.name, +1)
+        if reservation.use:
+            self._settler.note_sent(reservation.use, target)
         metrics.count("attempts.sent")
         decisions.record(call.key, "attempts", "sent", target.name)
         try:
@@ -88,7 +93,7 @@
             if error.may_be_death:
                 await self._sentry.note_failure(target.name)
                 if not error.started:
-                    self._sentry.strikes.check(call.content)
+                    self._check_quarantine(call)
             raise
         finally:
             self._targets.note_sent(target.name, -1)
@@ -96,6 +101,11 @@
         self._sentry.strikes.note_completed(call.content)
         return delivered
 
+    def _check_quarantine(self, call: Call) -> None:
+        # A tombstone may be asked for whatever the content: nothing runs.
+        if not call.refuse:
+            self._sentry.strikes.check(call.content)
+
     def _assign(self, call: Call, picked: TargetState) -> TargetState:
         """Returns the picked target, or the one that must run a suspect."""
         if not call.operation.repeatable:
@@ -145,34 +155,3 @@
             if self._clock.seconds() >= call.deadline:
                 break
         raise refusal
-
-
-class OwnerAttempts:
-    """Asks the one target that may run a call that may not be repeated."""
-
-    def __init__(self, targets: TargetTable, attempt: Attempt):
-        self._targets = targets
-        self._attempt = attempt
-
-    async def run(
-        self, request: server.Request, call: Call, reservation: Reservation
-    ) -> Delivered:
-        """Delivers the answer; raises as Attempts.run says."""
-        target = self._targets.owner(call.service, call.key)
-        if target is None:
-            raise _owner_unreachable(call)
-        try:
-            return await self._attempt.run(request, call, reservation, target)
-        except NotDeliveredError as error:
-            if error.started:
-                raise
-            raise error.refusal or _owner_unreachable(call) from error
-
-
-def _owner_unreachable(call: Call) -> ApiError:
-    return ApiError(
-        "no_target",
-        f"the target of {call.service.name} that owns this key does not answer",
-        "unknown",
-        defaults.RETRY_AFTER_MS,
-    )
--- a/chicorystack/router/main.py
+++ b/chicorystack/router/main.py
@@ -30,16 +30,14 @@
 from chicorystack.quarantine.sentry import Sentry
 from chicorystack.quarantine.strikes import StrikesMessage, StrikeTable
 from chicorystack.router.admission import Admission
-from chicorystack.router.attempts import (
-    Attempt,
-    OwnerAttempts,
-    RepeatableAttempts,
-)
+from chicorystack.router.attempts import Attempt, RepeatableAttempts
 from chicorystack.router.auth import CustomerDirectory
 from chicorystack.router.dispatcher import Dispatcher
 from chicorystack.router.drain import Drain
 from chicorystack.router.forwarder import Forwarder
+from chicorystack.router.owner_attempts import OwnerAttempts
 from chicorystack.router.resources import caller_tree
+from chicorystack.router.settler import Settler
 from chicorystack.routing.targets import TargetTable
 from chicorystack.settings.command_line import run_program
 from chicorystack.settings.loader import settings_command
@@ -106,19 +104,21 @@
             self._targets.has_target,
             strikes,
         )
+        settler = Settler(reactor, self._client, self._targets, self._budgets)
         attempt = Attempt(
             reactor,
             self._targets,
             Forwarder(reactor, settings.fleet_token),
             self._sentry,
+            settler,
         )
         self._dispatcher = Dispatcher(
             reactor,
             self._store,
             admission,
-            self._budgets,
+            settler,
             RepeatableAttempts(reactor, self._targets, attempt),
-            OwnerAttempts(self._targets, attempt),
+            OwnerAttempts(reactor, self._targets, attempt),
         )
         self._drain = Drain(
             reactor,
