Count the fault proxy's delayed connections apart by HTTP method

Cause: routers now ask each agent for its load, which takes a connection. With `delay_every_other` the poll was the first, delayed one and all calls went by the second, so test_late_copy_does_not_run_after_not_run saw no delayed call ('done' four times).

Change: every second connection of a method is delayed, so polls (GET) do not decide which calls (POST) are. The test is unchanged and again sees `not_run`: test_calls_not_run 4 passed.

--- a/bench/fault_proxy.py
+++ b/bench/fault_proxy.py
@@ -5,6 +5,7 @@
 """
 
 import sys
+from collections import Counter
 from typing import Literal, TypedDict
 
 from twisted.internet import protocol, reactor
@@ -38,7 +39,8 @@
         prefix: Beginning of the routes' names; empty for all.
         cut: Direction in which bytes are silently dropped.
         delay_s: Delay of all bytes, in seconds.
-        delay_every_other: Delays only every second connection, so that
+        delay_every_other: Delays only every second connection of an HTTP
+            method, so that
             messages on different connections overtake each other.
         truncate_after: Closes a connection after so many answer bytes; -1
             never.
@@ -114,10 +116,11 @@
     """The connection from the caller; carries requests on."""
 
     clientProtocolFactory = FaultyClientFactory
+    # 0 until the first bytes have come.
+    number = 0
 
     def connectionMade(self) -> None:
-        """Numbers the connection and opens its other half."""
-        self.number = self.factory.next_number()
+        """Opens the other half."""
         self.factory.connections.add(self)
         super().connectionMade()
 
@@ -130,6 +133,8 @@
         """Carries request bytes on, or loses them."""
         if self.factory.drops("to_target"):
             return
+        if self.number == 0:
+            self.number = self.factory.next_number(data.partition(b" ")[0])
         self.factory.later(self.number, self._carry, data)
 
     def _carry(self, data: bytes) -> None:
@@ -147,13 +152,16 @@
         super().__init__(LOOPBACK, route["target_port"])
         self.faults = NO_FAULTS
         self.connections: set[FaultyServer] = set()
-        self._count = 0
+        self._count_by_method: Counter[bytes] = Counter()
         self._crossing: tuple[FaultyClient, bytes] | None = None
 
-    def next_number(self) -> int:
-        """Returns the number of a new connection."""
-        self._count += 1
-        return self._count
+    def next_number(self, method: bytes) -> int:
+        """Returns the number of a new connection among those of its method.
+
+        So the number of polls does not decide which calls are delayed.
+        """
+        self._count_by_method[method] += 1
+        return self._count_by_method[method]
 
     def drops(self, direction: Cut) -> bool:
         """Tells whether bytes in this direction are lost."""
