--- a/bench/fault_proxy.py
+++ b/bench/fault_proxy.py
@@ -40,8 +40,8 @@
         cut: Direction in which bytes are silently dropped.
         delay_s: Delay of all bytes, in seconds.
         delay_every_other: Delays only every second connection of an HTTP
-            method, so that
-            messages on different connections overtake each other.
+            method, so that messages on different connections overtake each
+            other.
         truncate_after: Closes a connection after so many answer bytes; -1
             never.
         cross_answers: Gives the answers of two connections to each other's
--- /dev/null
+++ b/bench/fleet_changes.py
@@ -0,0 +1,252 @@
+"""Measures changes to a running fleet on one of the examples.
+
+    python -m bench.fleet_changes brandvagt
+
+starts all the example's targets and three routers, then measures under a small
+load: the time until a publication is in force at every process, a rolling
+restart of every router and agent, and the engines lost to one content that
+crashes them. It prints one JSON object.
+"""
+
+import itertools
+import json
+import signal
+import sys
+import tempfile
+import time
+from collections.abc import Iterator
+from pathlib import Path
+from typing import TypedDict
+
+from bench.fleet import Fleet, running_fleet, send, wait_until
+from bench.steady_calls import SteadyCalls
+from chicorystack.standin.engine import CRASH_MARK
+
+EXAMPLES = Path(__file__).parent.parent / "examples"
+PUBLICATIONS = 5
+POLL_S = 0.02
+STOP_TIMEOUT_S = 30.0
+RESTARTED_AT_ONCE = 3
+RESENDS = 12
+ENGINE_CALL = {"prompt": "zone", "max_tokens": 40}
+
+
+class RollingRestart(TypedDict):
+    """Figures of the rolling restart.
+
+    Attributes:
+        processes: Routers and agents restarted.
+        seconds: Time that it took.
+        calls: Calls sent meanwhile.
+        cut: Calls without a whole answer or refusal.
+        refused: Calls refused, by status and message.
+        late_arrivals: Calls sent to agents that had long said they leave.
+    """
+
+    processes: int
+    seconds: float
+    calls: int
+    cut: int
+    refused: dict[str, int]
+    late_arrivals: int
+
+
+class Quarantine(TypedDict):
+    """Figures of the crashing content.
+
+    Attributes:
+        sent: Times that its caller sent it.
+        quarantined: Times that it was refused as such.
+        engines_lost: Engines that it brought down.
+        innocent_calls: Other calls meanwhile.
+        innocent_refused: Those refused as crashing.
+        innocent_cut: Those whose answer broke off.
+    """
+
+    sent: int
+    quarantined: int
+    engines_lost: int
+    innocent_calls: int
+    innocent_refused: int
+    innocent_cut: int
+
+
+class Example:
+    """One example as a running fleet."""
+
+    def __init__(self, fleet: Fleet):
+        self.fleet = fleet
+        (self.site,) = fleet.config.site_by_name.values()
+        self.engines = next(
+            service
+            for service in self.site.service_by_name.values()
+            if service.kind == "engine"
+        )
+        self.operation = next(iter(self.engines.operation_by_name))
+
+    @property
+    def path(self) -> str:
+        """Path of the engines' first operation."""
+        return f"{self.engines.name}/{self.operation}"
+
+    def start(self) -> str:
+        """Starts all; returns a customer's key."""
+        self.fleet.start_platform()
+        for number, place in enumerate(self.site.data_centres, 1):
+            self.fleet.start_router(f"router-{number}", self.site.name, place)
+        for service in self.site.service_by_name.values():
+            for name in service.target_by_name:
+                self.fleet.start_target(service, name)
+        self.fleet.ctl("publish", str(self.fleet.config_path))
+        self.fleet.wait_until_ready()
+        key = self.fleet.ctl("create_customer", "alpha")["key"]
+        self.fleet.ctl("top_up", "alpha", "100000000")
+        return key
+
+    def versions(self) -> set[int]:
+        """Returns the versions in force anywhere."""
+        ports = [
+            (router.control_port, "/readyz")
+            for router in self.fleet.router_by_name.values()
+        ]
+        ports += [
+            (target.agent_port, "/load")
+            for target in self.fleet.target_by_name.values()
+        ]
+        return {
+            self.fleet.control(port, path)["config_version"]
+            for port, path in ports
+        }
+
+    def publication_seconds(self) -> float:
+        """Publishes; returns the time until it is in force everywhere."""
+        version = self.fleet.ctl("publish", str(self.fleet.config_path))
+        published_at = time.monotonic()
+        while self.versions() != {version["version"]}:
+            time.sleep(POLL_S)
+        return time.monotonic() - published_at
+
+    def roll(self, load: SteadyCalls) -> RollingRestart:
+        """Restarts every agent, a few at a time, then every router."""
+        began = time.monotonic()
+        waves = list(batches(self.fleet.target_by_name, RESTARTED_AT_ONCE))
+        late = sum(self._restart(names) for names in waves)
+        routers = list(self.fleet.router_by_name)
+        for router in routers:
+            self._restart([router])
+        return RollingRestart(
+            processes=len(self.fleet.target_by_name) + len(routers),
+            seconds=round(time.monotonic() - began, 1),
+            calls=len(load.answers),
+            cut=sum(answer.status == 0 for answer in load.answers),
+            refused=refusals(load),
+            late_arrivals=late,
+        )
+
+    def _restart(self, names: list[str]) -> int:
+        for name in names:
+            self.fleet.signal(name, signal.SIGTERM)
+        late = 0
+        for name in names:
+            process = self.fleet.process_by_name[name]
+            while process.poll() is None:
+                late += self._late_arrivals(name)
+                time.sleep(POLL_S)
+        for name in names:
+            self._start(name)
+        self.fleet.wait_until_ready()
+        return late
+
+    def _late_arrivals(self, name: str) -> int:
+        target = self.fleet.target_by_name.get(name)
+        if target is None:
+            return 0
+        try:
+            report = self.fleet.control(target.agent_port, "/load")
+        except OSError:
+            return 0
+        return report["late_arrivals"]
+
+    def _start(self, name: str) -> None:
+        if name in self.fleet.router_by_name:
+            place = self.fleet.data_centre_by_name[name]
+            self.fleet.start_router(name, self.site.name, place)
+            return
+        target = self.fleet.target_by_name[name]
+        service = self.site.service_by_name[target.service]
+        self.fleet.start_agent(service, target)
+
+    def crash(self, load: SteadyCalls, key: str) -> Quarantine:
+        """Sends a crashing content again and again through each router."""
+        replies = []
+        for number in range(RESENDS):
+            name = f"router-{1 + number % len(self.fleet.router_by_name)}"
+            reply = send(
+                self.fleet.router_by_name[name].port,
+                "POST",
+                f"/v1/services/{self.path}",
+                ENGINE_CALL | {"prompt": CRASH_MARK},
+                {"Authorization": f"Bearer {key}"},
+            )
+            replies.append(reply.status)
+        answered = len(load.answers)
+        wait_until("calls go on", lambda: len(load.answers) > answered + 50)
+        return Quarantine(
+            sent=RESENDS,
+            quarantined=replies.count(422),
+            engines_lost=self._engines_lost(),
+            innocent_calls=len(load.answers),
+            innocent_refused=sum(
+                answer.status == 422 for answer in load.answers
+            ),
+            innocent_cut=sum(answer.status == 0 for answer in load.answers),
+        )
+
+    def _engines_lost(self) -> int:
+        processes = self.fleet.process_by_name.items()
+        return sum(
+            name.endswith("-target") and process.poll() is not None
+            for name, process in processes
+        )
+
+
+def batches(names, size: int) -> Iterator[list[str]]:
+    """Yields names, a few at a time."""
+    iterator = iter(names)
+    while batch := list(itertools.islice(iterator, size)):
+        yield batch
+
+
+def refusals(load: SteadyCalls) -> dict[str, int]:
+    """Returns the number of refusals by status and message."""
+    reasons = [
+        f"{answer.status} {answer.text}"
+        for answer in load.answers
+        if answer.status not in (0, 200)
+    ]
+    return {reason: reasons.count(reason) for reason in sorted(set(reasons))}
+
+
+def main() -> None:
+    """Measures the example named on the command line."""
+    path = EXAMPLES / f"{sys.argv[1]}.yaml"
+    with (
+        tempfile.TemporaryDirectory() as directory,
+        running_fleet(path, Path(directory)) as fleet,
+    ):
+        example = Example(fleet)
+        key = example.start()
+        seconds = sorted(
+            round(example.publication_seconds(), 2) for _ in range(PUBLICATIONS)
+        )
+        with SteadyCalls(fleet, key, example.path, ENGINE_CALL) as load:
+            rolled = example.roll(load)
+        with SteadyCalls(fleet, key, example.path, ENGINE_CALL) as load:
+            crashed = example.crash(load, key)
+    result = {"publication_seconds": seconds}
+    result |= {"rolling_restart": rolled, "quarantine": crashed}
+    print(json.dumps(result, indent=1))
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/support/steady_calls.py
+++ b/bench/steady_calls.py
@@ -50,6 +50,7 @@
             thread.join()
 
     def failed(self) -> list[Answered]:
+        """Returns the calls that got no whole answer."""
         return [answer for answer in self.answers if answer.status != 200]
 
     def _balance(self) -> None:
--- a/tests/integration/test_fleet_quarantine.py
+++ b/tests/integration/test_fleet_quarantine.py
@@ -5,9 +5,9 @@
 import pytest
 
 from bench.fleet import running_fleet, send, wait_until
+from bench.steady_calls import SteadyCalls
 from chicorystack.standin.engine import CRASH_MARK
 from tests.conftest import EXAMPLES
-from tests.support.steady_calls import SteadyCalls
 
 SITE = "dk-east"
 RESENDS = 12
--- a/tests/integration/test_fleet_stop.py
+++ b/tests/integration/test_fleet_stop.py
@@ -16,8 +16,8 @@
     send,
     wait_until,
 )
+from bench.steady_calls import SteadyCalls
 from tests.conftest import EXAMPLES
-from tests.support.steady_calls import SteadyCalls
 
 SITE = "dk-east"
 ENGINES = ("fault-model-1", "fault-model-2", "fault-model-3")
