--- a/chicorystack/router/attempts.py
+++ b/chicorystack/router/attempts.py
@@ -88,7 +88,7 @@
             decisions.record_notable(
                 call.key, "attempts", f"failed at {target.name}", str(error)
             )
-            if error.refusal and error.refusal.code == "draining":
+            if error.target_leaves:
                 self._targets.note_refused(target.name, asked_at)
             if error.may_be_death:
                 await self._sentry.note_failure(target.name)
@@ -139,7 +139,8 @@
             f"no target of {call.service.name} can take the call",
             retry_after_ms=defaults.RETRY_AFTER_MS,
         )
-        while len(tried) < MAX_ATTEMPTS:
+        failures = 0
+        while failures < MAX_ATTEMPTS:
             target = self._targets.pick(call.service, tried)
             if target is None:
                 break
@@ -151,6 +152,8 @@
             except NotDeliveredError as error:
                 if error.started:
                     raise
+                # A leaving target says so at once and has done nothing.
+                failures += not error.target_leaves
                 refusal = error.refusal or refusal
             if self._clock.seconds() >= call.deadline:
                 break
--- a/chicorystack/router/forwarder.py
+++ b/chicorystack/router/forwarder.py
@@ -47,6 +47,11 @@
         self.started = started
         self.refusal = refusal
 
+    @property
+    def target_leaves(self) -> bool:
+        """Whether the agent refused because its target is leaving."""
+        return self.refusal is not None and self.refusal.code == "draining"
+
     @property
     def may_be_death(self) -> bool:
         """Whether the target may have died over the call."""
