--- a/bench/fault_proxy.py
+++ b/bench/fault_proxy.py
@@ -40,6 +40,7 @@
         delay_s: Delay of all bytes, in seconds.
         delay_every_other: Delays only every second connection, so that
             messages on different connections overtake each other.
+        undelayed: Text that marks a request as not delayed; empty for none.
         truncate_after: Closes a connection after so many answer bytes; -1
             never.
         cross_answers: Gives the answers of two connections to each other's
@@ -50,12 +51,13 @@
     cut: Cut
     delay_s: float
     delay_every_other: bool
+    undelayed: str
     truncate_after: int
     cross_answers: bool
 
 
 NO_FAULTS = Faults(
-    prefix="", cut="none", delay_s=0.0, delay_every_other=False,
+    prefix="", cut="none", delay_s=0.0, delay_every_other=False, undelayed="",
     truncate_after=-1, cross_answers=False,
 )  # fmt: skip
 
@@ -130,6 +132,9 @@
         """Carries request bytes on, or loses them."""
         if self.factory.drops("to_target"):
             return
+        if self.factory.is_undelayed(data):
+            self._carry(data)
+            return
         self.factory.later(self.number, self._carry, data)
 
     def _carry(self, data: bytes) -> None:
@@ -169,6 +174,11 @@
         client._carry(other_data)
         other._carry(data)
 
+    def is_undelayed(self, data: bytes) -> bool:
+        """Tells whether a request carries the mark that spares it."""
+        mark = self.faults["undelayed"].encode()
+        return bool(mark) and mark in data
+
     def later(self, number: int, carry, data) -> None:
         """Carries bytes after the connection's delay."""
         delay = self.faults["delay_s"]
--- /dev/null
+++ b/chicorystack/router/drain.py
@@ -0,0 +1,93 @@
+"""Stops a router without cutting a call or stranding a token."""
+
+from collections.abc import Callable
+
+from twisted.internet import defer, task
+
+from chicorystack import defaults
+from chicorystack.budget.client import BudgetClient
+from chicorystack.budget.keeper_service import KeeperService
+from chicorystack.calls.messages import Empty
+from chicorystack.errors import ApiError
+from chicorystack.membership.routers import LiveRouters, RouterLeaving
+from chicorystack.observe.logs import part_logger
+from chicorystack.router.dispatcher import Dispatcher
+from chicorystack.util import rendezvous_order
+from chicorystack.web.client import JsonClient, UnreachableError
+
+log = part_logger("drain")
+
+
+class Drain:
+    """The steps of a planned stop.
+
+    Attributes:
+        begun: Whether the router is stopping, and so not ready.
+    """
+
+    def __init__(
+        self,
+        reactor,
+        name: str,
+        client: JsonClient,
+        routers: LiveRouters,
+        dispatcher: Dispatcher,
+        keeper: KeeperService,
+        budgets: BudgetClient,
+    ):
+        self._reactor = reactor
+        self._name = name
+        self._client = client
+        self._routers = routers
+        self._dispatcher = dispatcher
+        self._keeper = keeper
+        self._budgets = budgets
+        self.begun = False
+
+    async def run(self, caller_port, stop: Callable[[], None]) -> None:
+        """Drains, then stops.
+
+        The router says that it is not ready first, and serves on until the
+        platform's balancer has seen it.
+
+        Args:
+            caller_port: The callers' listening port.
+            stop: Called when nothing is left to do.
+        """
+        if self.begun:
+            return
+        log.info("drains: {} calls in flight", self._dispatcher.in_flight)
+        self.begun = True
+        caller_port.factory.closing = True
+        await self._resign()
+        await task.deferLater(self._reactor, defaults.BALANCER_NOTICE_S)
+        caller_port.stopListening()
+        while self._dispatcher.in_flight:
+            await task.deferLater(self._reactor, defaults.DRAIN_CHECK_S)
+        await caller_port.factory.close_connections(self._reactor)
+        await self._budgets.hand_back()
+        log.info("has drained")
+        stop()
+
+    async def _resign(self) -> None:
+        """Tells those who come next for the shards that are kept here.
+
+        This router answers as keeper until it has read a newer claim.
+        """
+        self._routers.note_leaving(self._name)
+        url_by_name = self._routers.url_by_name()
+        heirs = {
+            rendezvous_order(f"shard-{shard}", url_by_name)[0]
+            for shard, duty in self._keeper.duty_by_shard.items()
+            if duty.keeper is not None and url_by_name
+        }
+        notices = [self._notify(url_by_name[heir]) for heir in heirs]
+        await defer.gatherResults(map(defer.ensureDeferred, notices))
+
+    async def _notify(self, url: str) -> None:
+        try:
+            await self._client.post(
+                f"{url}/leaving", RouterLeaving(name=self._name), Empty
+            )
+        except (UnreachableError, ApiError) as error:
+            log.warning("{} was not told: {}", url, error)
