--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON ?= python3
 BIN := $(VENV)/bin
 
-.PHONY: install demo test format chaos
+.PHONY: install demo test format capacity chaos
 
 $(VENV)/.installed: pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -28,3 +28,6 @@
 format: install
 	$(BIN)/ruff format .
 	$(BIN)/ruff check --fix .
+
+capacity: install
+	$(BIN)/python -m bench.capacity
--- a/bench/fault_proxy.py
+++ b/bench/fault_proxy.py
@@ -65,6 +65,7 @@
     def dataReceived(self, data: bytes) -> None:
         """Carries answer bytes back, or loses them."""
         route: RouteFactory = self.peer.factory
+        route.bytes_from_target += len(data)
         if route.drops("from_target"):
             return
         route.later(self.peer.number, self._carry, data)
@@ -105,6 +106,7 @@
 
     def dataReceived(self, data: bytes) -> None:
         """Carries request bytes on, or loses them."""
+        self.factory.bytes_to_target += len(data)
         if self.factory.drops("to_target"):
             return
         self.factory.later(self.number, self._carry, data)
@@ -124,6 +126,8 @@
         super().__init__(LOOPBACK, route["target_port"])
         self.faults = NO_FAULTS
         self.connections: set[FaultyServer] = set()
+        self.bytes_to_target = 0
+        self.bytes_from_target = 0
         self._count = 0
 
     def next_number(self) -> int:
@@ -178,6 +182,13 @@
                 factory.set_faults(faults)
         return Empty()
 
+    async def traffic(self, _message: Empty) -> dict[str, list[int]]:
+        """Returns bytes to and from the target, by route."""
+        return {
+            name: [factory.bytes_to_target, factory.bytes_from_target]
+            for name, factory in self._route_by_name.items()
+        }
+
     async def health(self, _message: Empty) -> Empty:
         """Answers."""
         return Empty()
@@ -192,6 +203,7 @@
         ("healthz", Empty, proxy.health),
         ("routes", Route, proxy.add_route),
         ("faults", Faults, proxy.order_faults),
+        ("traffic", Empty, proxy.traffic),
     ]
     for path, message_type, handler in endpoints:
         root.put(path, JsonEndpoint(message_type, handler, open_to_all))
--- /dev/null
+++ b/bench/slopes.py
@@ -0,0 +1,326 @@
+"""Slopes of state, messages and processor time, measured in this process.
+
+Each slope is the growth of a cost with a number: the difference of the costs
+at two sizes by the difference of the sizes. It is taken over several runs,
+memory in a fresh process each, so that its spread is known.
+"""
+
+import gc
+import multiprocessing
+import statistics
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import NamedTuple
+
+import msgspec
+
+from chicorystack.budget.ledger import ShardLedger
+from chicorystack.budget.messages import Usage
+from chicorystack.budget.wallet import ShardWallet
+from chicorystack.calls.messages import LoadReport
+from chicorystack.config.check import check_text
+from chicorystack.config.model import build_config
+from chicorystack.observe.decisions import DecisionLog
+from chicorystack.observe.metrics import Metrics
+from chicorystack.platform.messages import LogEntry, Vm, VmList
+
+RUNS = 3
+PAGE_BYTES = 4096
+SMALL, LARGE = 2_000, 22_000
+encode = msgspec.json.encode
+
+
+class Slope(NamedTuple):
+    """A measured slope.
+
+    Attributes:
+        name: What grows with what.
+        unit: Unit of the figures.
+        median: Median over the runs.
+        lowest: Lowest run.
+        highest: Highest run.
+    """
+
+    name: str
+    unit: str
+    median: float
+    lowest: float
+    highest: float
+
+
+def slope_of(name: str, unit: str, figures: list[float]) -> Slope:
+    """Returns the slope that several runs gave."""
+    rounded = [round(figure, 2) for figure in figures]
+    return Slope(
+        name, unit, round(statistics.median(rounded), 2), min(rounded),
+        max(rounded),
+    )  # fmt: skip
+
+
+def rss_bytes() -> int:
+    """Returns the memory of this process that is in RAM."""
+    fields = Path("/proc/self/statm").read_text().split()
+    return int(fields[1]) * PAGE_BYTES
+
+
+def log_entry(offset: int, record: dict[str, object]) -> LogEntry:
+    """Returns a record as the log service delivers it."""
+    text = encode(record).decode()
+    return LogEntry(offset=offset, time=1000.0 + offset / 1000, record=text)
+
+
+def top_up_entry(number: int) -> LogEntry:
+    """Returns a top-up of a budget of its own."""
+    return log_entry(
+        number,
+        {
+            "kind": "topped_up",
+            "id": f"top-up-{number:08}",
+            "customer": f"customer-{number:06}",
+            "budget": "main",
+            "tokens": 1_000_000,
+            "operator": "operator",
+        },
+    )
+
+
+def customer_entry(number: int) -> LogEntry:
+    """Returns the creation of a customer."""
+    return log_entry(
+        number,
+        {
+            "kind": "customer_created",
+            "id": f"create-{number:08}",
+            "customer": f"customer-{number:06}",
+            "key_salt": f"{number:032x}",
+            "key_hash": f"{number:0128x}",
+            "operator": "operator",
+        },
+    )
+
+
+def bills_ledger() -> ShardLedger:
+    """Returns a ledger with one large budget under a keeper."""
+    ledger = ShardLedger(0)
+    ledger.apply(top_up_entry(0))
+    claim = {"kind": "keeper_claimed", "id": "claim", "epoch": 1}
+    claim |= {"router": "router-1", "url": "http://10.0.0.1:7101"}
+    ledger.apply(log_entry(1, claim))
+    committed = {"customer-000000/main": 1_000_000}
+    ledger.apply(batch_entry(2, committed, []))
+    return ledger
+
+
+def batch_entry(offset: int, committed, bills: list[Usage]) -> LogEntry:
+    """Returns a keeper's batch."""
+    record = {"kind": "ledger_batch", "id": f"batch-{offset}", "epoch": 1}
+    record["number"] = offset
+    return log_entry(offset, record | {"committed": committed, "bills": bills})
+
+
+def bill(number: int) -> Usage:
+    """Returns the usage of one call."""
+    use = f"AbCdEfGhIjKl:{number}"
+    return Usage("customer-000000/main", f"{number:024x}", 1, use)
+
+
+def grow_budgets(count: int) -> object:
+    """Fills a ledger with budgets."""
+    ledger = ShardLedger(0)
+    for number in range(count):
+        ledger.apply(top_up_entry(number))
+    return ledger
+
+
+def grow_customers(count: int) -> object:
+    """Fills a ledger with customers."""
+    ledger = ShardLedger(0)
+    for number in range(count):
+        ledger.apply(customer_entry(number))
+    return ledger
+
+
+def grow_bills(count: int) -> object:
+    """Fills a ledger's window with billed keys."""
+    ledger = bills_ledger()
+    for start in range(0, count, 100):
+        bills = [bill(number) for number in range(start, start + 100)]
+        ledger.apply(batch_entry(3 + start, {}, bills))
+    return ledger
+
+
+def grow_wallet(count: int) -> object:
+    """Fills a wallet with budgets."""
+    wallet = ShardWallet(0, "AbCdEfGhIjKl")
+    for number in range(count):
+        wallet.want(f"customer-{number:06}/main", 500)
+    return wallet
+
+
+def grow_decisions(count: int) -> object:
+    """Fills a ring with ordinary decisions."""
+    log = DecisionLog(limit=count)
+    for number in range(count):
+        log.record(f"{number:024x}", "attempts", "sent", "fault-model-1")
+    return log
+
+
+GROWERS: dict[str, Callable[[int], object]] = {
+    "ledger, budget": grow_budgets,
+    "ledger, customer": grow_customers,
+    "ledger, billed key": grow_bills,
+    "wallet, budget": grow_wallet,
+    "decision record": grow_decisions,
+}
+
+
+def _growth(name: str) -> float:
+    grow = GROWERS[name]
+    small = grow(SMALL)
+    gc.collect()
+    before = rss_bytes()
+    large = grow(LARGE)
+    gc.collect()
+    after = rss_bytes()
+    del small, large
+    # The small one is still there, so the growth is that of the large one.
+    return (after - before) / LARGE
+
+
+def memory_slopes() -> list[Slope]:
+    """Returns bytes of memory for each kind of state."""
+    context = multiprocessing.get_context("spawn")
+    slopes = []
+    for name in GROWERS:
+        with context.Pool(1, maxtasksperchild=1) as pool:
+            figures = [pool.apply(_growth, (name,)) for _ in range(RUNS)]
+        slopes.append(slope_of(f"memory: {name}", "bytes", figures))
+    return slopes
+
+
+def timed_us(run: Callable[[int], object], count: int) -> float:
+    """Returns processor time for each of count, in microseconds."""
+    started = time.process_time()
+    run(count)
+    return (time.process_time() - started) / count * 1e6
+
+
+def _batch_of_bills(count: int) -> None:
+    wallet = ShardWallet(0, "AbCdEfGhIjKl")
+    for number in range(count):
+        wallet.usage_by_use[f"AbCdEfGhIjKl:{number}"] = bill(number)
+    message = wallet.next_exchange()
+    msgspec.json.decode(encode(message))
+
+
+def config_text(targets: int) -> str:
+    """Returns a configuration of twenty services with so many targets."""
+    lines = ["shards: 256", "sites:", "  region-1:", "    data_centres:"]
+    lines += [f"      - region-1-{number}" for number in range(1, 7)]
+    lines.append("    services:")
+    for model in range(20):
+        lines += [f"      model-{model}:", "        kind: engine"]
+        lines += ["        operations:", "          generate:"]
+        lines += ["            repeatable: true", "        targets:"]
+        for number in range(targets // 20):
+            lines.append(f"          model-{model}-{number}:")
+            place = number % 6 + 1
+            lines.append(f"            data_centre: region-1-{place}")
+    return "\n".join(lines) + "\n"
+
+
+def _take_config(targets: int) -> None:
+    raw = _config_by_targets[targets]
+    build_config(msgspec.json.decode(raw), 1)
+
+
+_config_by_targets: dict[int, bytes] = {}
+
+
+def prepare_config(targets: int) -> float:
+    """Checks a configuration; returns the bytes that its record carries."""
+    text = config_text(targets)
+    config = check_text(text, "capacity")
+    _config_by_targets[targets] = encode(config)
+    return len(encode({"text": text, "config": config}))
+
+
+def _record_decisions(count: int) -> None:
+    log = DecisionLog()
+    for _ in range(count):
+        log.record("k", "attempts", "sent", "fault-model-1")
+
+
+def _count_metrics(count: int) -> None:
+    own = Metrics()
+    for _ in range(count):
+        own.count("calls.received")
+
+
+def time_slopes() -> list[Slope]:
+    """Returns processor time in this process, in microseconds for each."""
+    prepare_config(1_700)
+    work: list[tuple[str, Callable[[int], object], int]] = [
+        ("ledger takes a top-up", grow_budgets, 5_000),
+        ("ledger takes a bill", grow_bills, 5_000),
+        ("wallet states and decodes a bill", _batch_of_bills, 5_000),
+        ("process takes over a target's configuration", _take_config, 1_700),
+        ("decision record", _record_decisions, 50_000),
+        ("metric count", _count_metrics, 50_000),
+    ]
+    return [
+        slope_of(
+            f"time: {name}",
+            "us",
+            [timed_us(run, count) for _ in range(RUNS)],
+        )
+        for name, run, count in work
+    ]
+
+
+def _exchange_bytes(bills: int) -> int:
+    wallet = ShardWallet(0, "AbCdEfGhIjKl")
+    for number in range(bills):
+        wallet.usage_by_use[f"AbCdEfGhIjKl:{number}"] = bill(number)
+    return len(encode(wallet.next_exchange()))
+
+
+def _vm_list_bytes(count: int) -> int:
+    vms = [
+        Vm(
+            name=f"model-{number % 20}-{number}",
+            role="agent",
+            site="region-1",
+            data_centre="region-1-1",
+            address=f"10.1.{number // 250}.{number % 250}",
+            port=7200,
+            state="live",
+        )
+        for number in range(count)
+    ]
+    return len(encode(VmList(version=1, vms=vms)))
+
+
+def byte_slopes() -> list[Slope]:
+    """Returns sizes of messages, in bytes; the same in every run."""
+    load = LoadReport(
+        target="model-1-1", ready=True, in_flight=12, running=12, queued=3,
+        config_version=950,
+    )  # fmt: skip
+    config_growth = (prepare_config(2_000) - prepare_config(200)) / 1_800
+    vm_growth = (_vm_list_bytes(2_000) - _vm_list_bytes(200)) / 1_800
+    bill_growth = (_exchange_bytes(1_000) - _exchange_bytes(0)) / 1_000
+    sizes = {
+        "configuration record, target": config_growth,
+        "VM list, VM": vm_growth,
+        "exchange, fixed part": _exchange_bytes(0),
+        "exchange, bill": bill_growth,
+        "load report": len(encode(load)),
+        "log, top-up record": len(top_up_entry(1)["record"]),
+        "log, customer record": len(customer_entry(1)["record"]),
+    }
+    return [
+        slope_of(f"size: {name}", "bytes", [float(size)])
+        for name, size in sizes.items()
+    ]
