--- a/chicorystack/router/forwarder.py
+++ b/chicorystack/router/forwarder.py
@@ -12,13 +12,16 @@
     ANSWER_HEADER,
     CALL_HEADER,
     END_EVENT_PREFIX,
+    ERROR_EVENT_PREFIX,
+    EVENT_END,
     EVENT_STREAM,
+    KEY_HEADER,
     AnswerHeader,
     CallHeader,
     EndRecord,
 )
 from chicorystack.errors import ApiError, ChicoryError, ErrorReply
-from chicorystack.observe.invariants import require
+from chicorystack.observe.invariants import InvariantError, require
 from chicorystack.web.client import BytesProducer, make_http_agent
 from chicorystack.web.server import FLEET_TOKEN_HEADER
 
@@ -66,7 +69,7 @@
         self.finished: defer.Deferred[bool] = defer.Deferred(self._cancel)
 
     def _cancel(self, _deferred) -> None:
-        self.transport.abortConnection()
+        self.transport.loseConnection()
 
     def connectionMade(self) -> None:
         """Lets a slow caller slow the agent down."""
@@ -85,6 +88,36 @@
             self.finished.callback(bool(reason.check(ResponseDone)))
 
 
+def break_off_answer(request: server.Request) -> None:
+    """Ends an answer so that no client takes it for a whole one.
+
+    A stream gets an error event. The connection then closes without the last
+    chunk, or before the length that was announced. HTTP/1.0 knows neither,
+    so that only a reset tells.
+    """
+    if request._disconnected:
+        return
+    if request.clientproto != b"HTTP/1.1":
+        request.transport.abortConnection()
+        return
+    content = request.responseHeaders.getRawHeaders(b"content-type", [b""])[0]
+    if content.decode() == EVENT_STREAM:
+        error = ApiError(
+            "target_failed", "the answer broke off", "not_completed"
+        )
+        event = msgspec.json.encode(error.reply())
+        request.write(ERROR_EVENT_PREFIX + event + EVENT_END)
+    request.transport.loseConnection()
+
+
+class AbortingReader(protocol.Protocol):
+    """Closes a connection whose answer is of no use."""
+
+    def connectionMade(self) -> None:
+        """Closes the connection, so that it is never used again."""
+        self.transport.loseConnection()
+
+
 class Forwarder:
     """Exchanges calls and answers with agents."""
 
@@ -103,14 +136,12 @@
         """
         response = await self._send(url, call, body)
         if not response.headers.hasHeader(ANSWER_HEADER):
-            raise await _refusal(response)
-        raw = response.headers.getRawHeaders(ANSWER_HEADER)[0]
-        answer = answer_decoder.decode(raw)
-        require(
-            "answer_is_for_this_call",
-            answer["key"] == call["key"],
-            f"asked for {call['key']}, got {answer['key']}",
-        )
+            raise await _refusal(call, response)
+        try:
+            answer = _answer_to(call, response)
+        except (msgspec.DecodeError, InvariantError) as error:
+            response.deliverBody(AbortingReader())
+            raise NotDeliveredError(f"{url}: {error}", False) from error
         return await self._relay(response, answer, request)
 
     async def _send(self, url: str, call: CallHeader, body: bytes):
@@ -125,10 +156,7 @@
             answering = self._http.request(
                 b"POST", f"{url}/run".encode(), headers, BytesProducer(body)
             )
-            answering.addTimeout(
-                min(defaults.ANSWER_START_TIMEOUT_S, call["timeout_ms"] / 1000),
-                self._reactor,
-            )
+            answering.addTimeout(_start_timeout_s(call), self._reactor)
             return await answering
         except defer.CancelledError:
             raise
@@ -153,6 +181,30 @@
         return Delivered(_end_record(relay.tail)["tokens"], answer["use"])
 
 
+def _answer_to(call: CallHeader, response) -> AnswerHeader:
+    """Returns the header of an answer, which must be for this call."""
+    raw = response.headers.getRawHeaders(ANSWER_HEADER)[0]
+    answer = answer_decoder.decode(raw)
+    require(
+        "answer_is_for_this_call",
+        answer["key"] == call["key"],
+        f"asked for {call['key']}, got {answer['key']}",
+    )
+    return answer
+
+
+def _start_timeout_s(call: CallHeader) -> float:
+    """Returns how long to wait for an answer's first byte, in seconds.
+
+    Only the owner of an unrepeatable call can answer it, so there is nobody
+    else to ask before the deadline. The owner itself says when it is reached.
+    """
+    left_s = call["timeout_ms"] / 1000
+    if call["repeatable"]:
+        return min(defaults.ANSWER_START_TIMEOUT_S, left_s)
+    return left_s + defaults.CONNECT_TIMEOUT_S
+
+
 def _end_record(tail: bytes) -> EndRecord:
     _, found, data = tail.rpartition(END_EVENT_PREFIX)
     if not found:
@@ -160,11 +212,17 @@
     return end_decoder.decode(data)
 
 
-async def _refusal(response) -> NotDeliveredError:
+async def _refusal(call: CallHeader, response) -> NotDeliveredError:
     """Turns an agent's refusal into an error."""
+    key = response.headers.getRawHeaders(KEY_HEADER, [""])[0]
     try:
         payload = await client.readBody(response)
         body = error_decoder.decode(payload)["error"]
+        require(
+            "refusal_is_for_this_call",
+            key == call["key"],
+            f"asked for {call['key']}, got {key or 'none'}",
+        )
     except Exception as error:
         return NotDeliveredError(f"unreadable refusal: {error!r}", False)
     refusal = ApiError(
