--- a/bench/fault_proxy.py
+++ b/bench/fault_proxy.py
@@ -5,7 +5,6 @@
 """
 
 import sys
-from collections import Counter
 from typing import Literal, TypedDict
 
 from twisted.internet import protocol, reactor
@@ -39,9 +38,9 @@
         prefix: Beginning of the routes' names; empty for all.
         cut: Direction in which bytes are silently dropped.
         delay_s: Delay of all bytes, in seconds.
-        delay_every_other: Delays only every second connection of an HTTP
-            method, so that messages on different connections overtake each
-            other.
+        delay_every_other: Delays only every second connection, so that
+            messages on different connections overtake each other.
+        undelayed: Text that marks a request as not delayed; empty for none.
         truncate_after: Closes a connection after so many answer bytes; -1
             never.
         cross_answers: Gives the answers of two connections to each other's
@@ -52,12 +51,13 @@
     cut: Cut
     delay_s: float
     delay_every_other: bool
+    undelayed: str
     truncate_after: int
     cross_answers: bool
 
 
 NO_FAULTS = Faults(
-    prefix="", cut="none", delay_s=0.0, delay_every_other=False,
+    prefix="", cut="none", delay_s=0.0, delay_every_other=False, undelayed="",
     truncate_after=-1, cross_answers=False,
 )  # fmt: skip
 
@@ -79,6 +79,7 @@
     def dataReceived(self, data: bytes) -> None:
         """Carries answer bytes back, or loses them."""
         route: RouteFactory = self.peer.factory
+        route.bytes_from_target += len(data)
         if route.drops("from_target"):
             return
         if route.faults["cross_answers"]:
@@ -116,11 +117,10 @@
     """The connection from the caller; carries requests on."""
 
     clientProtocolFactory = FaultyClientFactory
-    # 0 until the first bytes have come.
-    number = 0
 
     def connectionMade(self) -> None:
-        """Opens the other half."""
+        """Numbers the connection and opens its other half."""
+        self.number = self.factory.next_number()
         self.factory.connections.add(self)
         super().connectionMade()
 
@@ -131,10 +131,12 @@
 
     def dataReceived(self, data: bytes) -> None:
         """Carries request bytes on, or loses them."""
+        self.factory.bytes_to_target += len(data)
         if self.factory.drops("to_target"):
             return
-        if self.number == 0:
-            self.number = self.factory.next_number(data.partition(b" ")[0])
+        if self.factory.is_undelayed(data):
+            self._carry(data)
+            return
         self.factory.later(self.number, self._carry, data)
 
     def _carry(self, data: bytes) -> None:
@@ -152,16 +154,15 @@
         super().__init__(LOOPBACK, route["target_port"])
         self.faults = NO_FAULTS
         self.connections: set[FaultyServer] = set()
-        self._count_by_method: Counter[bytes] = Counter()
+        self.bytes_to_target = 0
+        self.bytes_from_target = 0
+        self._count = 0
         self._crossing: tuple[FaultyClient, bytes] | None = None
 
-    def next_number(self, method: bytes) -> int:
-        """Returns the number of a new connection among those of its method.
-
-        So the number of polls does not decide which calls are delayed.
-        """
-        self._count_by_method[method] += 1
-        return self._count_by_method[method]
+    def next_number(self) -> int:
+        """Returns the number of a new connection."""
+        self._count += 1
+        return self._count
 
     def drops(self, direction: Cut) -> bool:
         """Tells whether bytes in this direction are lost."""
@@ -177,6 +178,11 @@
         client._carry(other_data)
         other._carry(data)
 
+    def is_undelayed(self, data: bytes) -> bool:
+        """Tells whether a request carries the mark that spares it."""
+        mark = self.faults["undelayed"].encode()
+        return bool(mark) and mark in data
+
     def later(self, number: int, carry, data) -> None:
         """Carries bytes after the connection's delay."""
         delay = self.faults["delay_s"]
@@ -220,6 +226,13 @@
                 factory.set_faults(faults)
         return Empty()
 
+    async def traffic(self, _message: Empty) -> dict[str, list[int]]:
+        """Returns bytes to and from the target, by route."""
+        return {
+            name: [factory.bytes_to_target, factory.bytes_from_target]
+            for name, factory in self._route_by_name.items()
+        }
+
     async def health(self, _message: Empty) -> Empty:
         """Answers."""
         return Empty()
@@ -234,6 +247,7 @@
         ("healthz", Empty, proxy.health),
         ("routes", Route, proxy.add_route),
         ("faults", Faults, proxy.order_faults),
+        ("traffic", Empty, proxy.traffic),
     ]
     for path, message_type, handler in endpoints:
         root.put(path, JsonEndpoint(message_type, handler, open_to_all))
--- a/chicorystack/web/channel.py
+++ b/chicorystack/web/channel.py
@@ -8,12 +8,11 @@
 
 import msgspec
 from twisted.internet.protocol import Protocol
-from twisted.web import http
+from twisted.web import http, server
 
 from chicorystack import defaults
 from chicorystack.errors import ApiError
 from chicorystack.observe.metrics import metrics
-from chicorystack.web.graceful import GracefulSite
 
 encoder = msgspec.json.Encoder()
 
@@ -140,11 +139,11 @@
         self.transport.loseConnection()
 
 
-class BoundedSite(GracefulSite):
+class BoundedSite(server.Site):
     """Serves a tree of resources to a bounded number of connections.
 
     Attributes:
-        open_connections: Connections open now.
+        open_channels: Connections open now.
     """
 
     noisy = False
@@ -158,7 +157,7 @@
             **options,
         )
         self._max_connections = max_connections
-        self.open_connections = 0
+        self.open_channels: set[BoundedChannel] = set()
 
     def protocol(self) -> BoundedChannel:
         """Returns a channel; HTTP/1.1 only."""
@@ -166,7 +165,7 @@
 
     def buildProtocol(self, addr) -> Protocol:
         """Returns a channel, or one that refuses where too many are open."""
-        if self.open_connections >= self._max_connections:
+        if len(self.open_channels) >= self._max_connections:
             return FullChannel()
         return super().buildProtocol(addr)
 
@@ -180,11 +179,11 @@
         self._counting_site = site
 
     def connectionMade(self) -> None:
-        self._counting_site.open_connections += 1
+        self._counting_site.open_channels.add(self)
         super().connectionMade()
 
     def connectionLost(self, reason) -> None:
-        self._counting_site.open_connections -= 1
+        self._counting_site.open_channels.discard(self)
         super().connectionLost(reason)
 
 
--- a/chicorystack/web/graceful.py
+++ b/chicorystack/web/graceful.py
@@ -1,36 +1,19 @@
 """Closes the connections of a server without cutting answers."""
 
 from twisted.internet import task
-from twisted.web import server
 
 from chicorystack import defaults
+from chicorystack.web.channel import BoundedSite
 
 
-class GracefulSite(server.Site):
+class GracefulSite(BoundedSite):
     """A site that knows its open connections and can close them gently.
 
     Attributes:
         closing: Whether connections are closed after the answer under way.
-        open_channels: Connections with callers.
     """
 
-    def __init__(self, *args, **kwargs):
-        super().__init__(*args, **kwargs)
-        self.closing = False
-        self.open_channels: set = set()
-
-    def buildProtocol(self, address):
-        """Returns the protocol of a new connection and remembers it."""
-        channel = super().buildProtocol(address)
-        self.open_channels.add(channel)
-        forget = channel.connectionLost
-
-        def connection_lost(reason):
-            self.open_channels.discard(channel)
-            forget(reason)
-
-        channel.connectionLost = connection_lost
-        return channel
+    closing = False
 
     async def close_connections(self, reactor) -> None:
         """Closes all connections once their bytes are on the wire.
