Ask for a report only of an agent that answered

Cause: after an attempt that timed out the router asked the same agent for its report, for up to 1 s, before the caller got its answer; a tombstone could come too late (test_late_copy_does_not_run_after_not_run failed in a full run on a busy machine: 'done' where 'not_run' was to be had).

Change: the report is asked for after a refusal `target_failed` or a broken answer, which the agent has sent; a silent agent is not waited for.

--- a/chicorystack/router/forwarder.py
+++ b/chicorystack/router/forwarder.py
@@ -54,8 +54,13 @@
 
     @property
     def may_be_death(self) -> bool:
-        """Whether the target may have died over the call."""
-        return self.refusal is None or self.refusal.code == "target_failed"
+        """Whether the target may have died over the call.
+
+        An agent that can't be reached knows nothing that is worth a wait.
+        """
+        if self.refusal is None:
+            return self.started
+        return self.refusal.code == "target_failed"
 
 
 class Delivered(NamedTuple):
