--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -214,7 +214,9 @@
             if place == data_centre
         ]
 
-    def start_router(self, name: str, site: str, data_centre: str) -> Router:
+    def start_router(
+        self, name: str, site: str, data_centre: str, *flags: str
+    ) -> Router:
         """Starts a router and puts it on the VM list."""
         router = Router(name, free_port(), free_port())
         self.router_by_name[name] = router
@@ -226,6 +228,7 @@
             f"--data_centre={data_centre}",
             f"--port={router.port}",
             f"--control_port={router.control_port}",
+            *flags,
             data_centre=data_centre,
         )
         vm = {"name": name, "role": "router", "site": site}
--- a/chicorystack/settings/types.py
+++ b/chicorystack/settings/types.py
@@ -20,6 +20,8 @@
         address: IP address to listen on and to be reached at.
         port: TCP port for callers.
         control_port: TCP port for the fleet and operators.
+        picker: Policy that chooses targets: sampled, least_sent or
+            round_robin.
         statsd: IP:port of the statsd server; empty for none.
         log_level: Least severe level that is logged.
         check: Checks the settings and exits.
@@ -35,6 +37,7 @@
     address: str = defaults.LOOPBACK
     port: int = 7100
     control_port: int = 7101
+    picker: str = "sampled"
     statsd: str = ""
     log_level: str = "INFO"
 
