Let the stand-in engine's slots go by priority

Ports for test processes lie below those of outgoing connections and are given once: a load run stopped because an agent found its port taken by the engine started before it.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -4,6 +4,7 @@
 import http.client
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -23,6 +24,8 @@
 POLL_S = 0.05
 FLEET_TOKEN = "development-token"
 BIN = Path(sys.executable).parent
+LISTEN_PORTS = (10_000, 32_000)
+given_ports: set[int] = set()
 
 
 class FleetError(Exception):
@@ -62,10 +65,19 @@
 
 
 def free_port() -> int:
-    """Returns a TCP port that nothing listens on."""
-    with socket.socket() as probe:
-        probe.bind((LOOPBACK, 0))
-        return probe.getsockname()[1]
+    """Returns a TCP port that nothing listens on and nobody was given.
+
+    It lies below the ports of outgoing connections, which could otherwise
+    take it before its process listens.
+    """
+    while True:
+        port = random.SystemRandom().randrange(*LISTEN_PORTS)
+        with contextlib.suppress(OSError), socket.socket() as probe:
+            if port in given_ports:
+                continue
+            probe.bind((LOOPBACK, port))
+            given_ports.add(port)
+            return port
 
 
 def send(
--- a/chicorystack/standin/engine.py
+++ b/chicorystack/standin/engine.py
@@ -14,6 +14,7 @@
     EngineRequest,
     EngineUsage,
 )
+from chicorystack.standin.slots import PrioritySlots
 from chicorystack.util import stable_hash
 from chicorystack.web.server import (
     JsonEndpoint,
@@ -62,7 +63,7 @@
     def __init__(self, clock, slots: int, first_token_s: float, gap_s: float):
         super().__init__()
         self._clock = clock
-        self._slots = defer.DeferredSemaphore(slots)
+        self._slots = PrioritySlots(slots)
         self._first_token_s = first_token_s
         self._gap_s = gap_s
         self._faults = EngineFaults(slowdown=1.0, break_after=0)
@@ -90,7 +91,7 @@
         message = read_body(request, EngineRequest)
         self._load["queued"] += 1
         try:
-            await self._slots.acquire()
+            await self._slots.acquire(message["priority"])
         finally:
             self._load["queued"] -= 1
         self._load["running"] += 1
@@ -107,7 +108,7 @@
         self, request: server.Request, message: EngineRequest
     ) -> None:
         request.setHeader(b"content-type", EVENT_STREAM.encode())
-        await self._pause(self._first_token_s)
+        due = await self._pause(self._clock.seconds(), self._first_token_s)
         generated = message.get("resume_tokens", 0)
         for index, word in enumerate(generate_words(message)):
             if index < generated:
@@ -116,7 +117,7 @@
             if index + 1 == self._faults["break_after"]:
                 request.transport.abortConnection()
                 return
-            await self._pause(self._gap_s)
+            due = await self._pause(due, self._gap_s)
         usage = EngineUsage(
             done=True,
             prompt_tokens=count_prompt_tokens(message["prompt"]),
@@ -129,8 +130,15 @@
             usage["prompt_tokens"] + usage["completion_tokens"]
         )
 
-    async def _pause(self, seconds: float) -> None:
-        await task.deferLater(self._clock, seconds * self._faults["slowdown"])
+    async def _pause(self, due: float, seconds: float) -> float:
+        """Pauses for a time after `due`; returns when the pause was to end.
+
+        Lateness of one token thus does not add up over a stream.
+        """
+        due += seconds * self._faults["slowdown"]
+        delay = max(0.0, due - self._clock.seconds())
+        await task.deferLater(self._clock, delay)
+        return due
 
 
 def count_prompt_tokens(prompt: str) -> int:
