--- a/chicorystack/agent/gate.py
+++ b/chicorystack/agent/gate.py
@@ -82,6 +82,8 @@
             raise ApiError("not_ready", "the agent has no configuration yet")
         if self.draining:
             raise ApiError("draining", "the target is leaving")
+        if call["repeatable"] and self.in_flight >= service.max_in_flight:
+            raise ApiError("overloaded", "the target has no room")
         if service.kind == "engine":
             await self._generations.serve(request, call)
         elif call["repeatable"]:
--- a/chicorystack/agent/generations.py
+++ b/chicorystack/agent/generations.py
@@ -46,9 +46,13 @@
             max_tokens=call["max_tokens"],
             priority=call["priority"],
         )
+        if "resume_tokens" in call:
+            engine_request["resume_tokens"] = call["resume_tokens"]
 
         def start(reader: StreamReader) -> None:
             self._begin_answer(request, call)
+            # A slow router slows the engine's stream down.
+            request.registerProducer(reader.transport, True)
             gone = request.notifyFinish()
             gone.addErrback(lambda _: reader.transport.abortConnection())
 
@@ -62,6 +66,8 @@
             return
         finally:
             self.in_flight -= 1
+            if not request._disconnected:
+                request.unregisterProducer()
         tokens = usage["prompt_tokens"] + usage["completion_tokens"]
         end = EndRecord(outcome="done", tokens=tokens + call["cost_tokens"])
         request.write(END_EVENT_PREFIX + encoder.encode(end) + EVENT_END)
--- a/chicorystack/agent/target_client.py
+++ b/chicorystack/agent/target_client.py
@@ -40,12 +40,21 @@
             ends without it.
     """
 
-    def __init__(self, pass_on: Callable[[bytes], None]):
+    def __init__(
+        self,
+        pass_on: Callable[[bytes], None],
+        on_start: Callable[["StreamReader"], None],
+    ):
         self._pass_on = pass_on
+        self._on_start = on_start
         self._held = b""
         self.events = 0
         self.finished: defer.Deferred[EngineUsage] = defer.Deferred()
 
+    def connectionMade(self) -> None:
+        """Lets the answer begin."""
+        self._on_start(self)
+
     def dataReceived(self, data: bytes) -> None:
         """Passes whole events on; the last one is held back.
 
@@ -103,8 +112,7 @@
         if response.code != 200:
             await client.readBody(response)
             raise TargetFailedError(f"the engine said {response.code}")
-        reader = StreamReader(pass_on)
-        on_start(reader)
+        reader = StreamReader(pass_on, on_start)
         response.deliverBody(reader)
         return await reader.finished
 
--- a/chicorystack/calls/messages.py
+++ b/chicorystack/calls/messages.py
@@ -36,6 +36,7 @@
         priority: Order in which the target takes calls.
         timeout_ms: Time left to the caller's deadline; the receiver turns it
             into a deadline on its own clock at once.
+        resume_tokens: Generated tokens that the caller has already.
     """
 
     site: str
@@ -52,6 +53,7 @@
     max_tokens: int
     priority: Priority
     timeout_ms: int
+    resume_tokens: NotRequired[int]
 
 
 class AnswerHeader(TypedDict):
--- a/chicorystack/config/model.py
+++ b/chicorystack/config/model.py
@@ -39,6 +39,7 @@
         targets: Targets by name, which is the name of their VM.
         depends_on: Services of the same site that it needs.
         max_in_flight: Most calls at one target at a time.
+        resumable: Whether engines go on with a stream that another began.
     """
 
     kind: ServiceKind
@@ -46,6 +47,7 @@
     targets: dict[str, TargetText]
     depends_on: NotRequired[list[str]]
     max_in_flight: NotRequired[int]
+    resumable: NotRequired[bool]
 
 
 class SiteText(TypedDict):
@@ -94,6 +96,7 @@
     target_by_name: dict[str, Target]
     depends_on: tuple[str, ...] = ()
     max_in_flight: int = defaults.MAX_IN_FLIGHT_PER_TARGET
+    resumable: bool = False
 
 
 class Site(NamedTuple):
@@ -153,4 +156,5 @@
         {key: Target(key, **fields) for key, fields in targets},
         tuple(text.get("depends_on", ())),
         text.get("max_in_flight", defaults.MAX_IN_FLIGHT_PER_TARGET),
+        text.get("resumable", False),
     )
--- a/chicorystack/defaults.py
+++ b/chicorystack/defaults.py
@@ -47,3 +47,35 @@
 LOAD_REPORT_INTERVAL_S = 0.5
 DRAIN_CHECK_S = 0.05
 KEPT_ANSWER_MAX_BYTES = 4 * 1024 * 1024
+
+# Routing.
+TARGETS_PER_ROUTER = 16
+PICK_SAMPLE = 3
+# Part of a target's limit by which another data centre's must be freer.
+OTHER_DATA_CENTRE_LOAD = 0.1
+QUEUE_WAIT_MAX_S = 0.4
+# Calls by which one customer may run ahead of another while both wait.
+FAIR_WINDOW_CALLS = 2.0
+TIMING_GAIN = 0.1
+START_BOUND_MIN_S = 0.5
+STALL_BOUND_MIN_S = 0.5
+STALL_GAPS = 10
+MAX_ATTEMPTS = 3
+MAX_FULL_REFUSALS = 8
+RETRIES_PER_CALL = 0.1
+RETRY_BUDGET_MAX = 20
+RETRY_DELAY_MAX_S = 0.02
+
+LOAD_REPORT_TIMEOUT_S = 0.5
+
+# Ejection of targets.
+EJECT_FAILURES = 3
+EJECT_S = 2.0
+EJECT_MAX_S = 60.0
+RAMP_END = 16
+SLOWNESS_GAIN = 0.3
+SLOWNESS_FLOOR_S = 0.05
+SLOW_SAMPLES = 3
+SLOW_FACTOR = 2.0
+# Most of a service's targets that may be ejected as slow.
+SLOW_EJECTED_MAX = 0.34
--- a/chicorystack/router/attempts.py
+++ b/chicorystack/router/attempts.py
@@ -14,10 +14,11 @@
     Forwarder,
     NotDeliveredError,
 )
+from chicorystack.router.progress import Patience, Progress
 from chicorystack.routing.targets import TargetState, TargetTable
 
 log = part_logger("attempts")
-MAX_ATTEMPTS = 3
+DEFAULT_PATIENCE = Patience(defaults.ANSWER_START_TIMEOUT_S)
 
 
 class Attempts(Protocol):
@@ -48,13 +49,22 @@
         call: Call,
         reservation: Reservation,
         target: TargetState,
+        progress: Progress | None = None,
+        patience: Patience = DEFAULT_PATIENCE,
     ) -> Delivered:
-        """Delivers the target's answer; raises NotDeliveredError."""
+        """Delivers the target's answer, or the rest of it.
+
+        Raises:
+            NotDeliveredError: If the target does not give the whole of it.
+        """
+        progress = progress or Progress()
         header = call.header(reservation, self._clock.seconds())
+        if progress.events:
+            header["resume_tokens"] = progress.events
         self._targets.note_sent(target.name, +1)
         try:
             delivered = await self._forwarder.forward(
-                target.url, header, call.body, request
+                target.url, header, call.body, request, progress, patience
             )
         except NotDeliveredError as error:
             log.warning("target {}: {}", target.name, error)
@@ -65,42 +75,6 @@
         return delivered
 
 
-class RepeatableAttempts:
-    """Tries targets of a repeatable call until one gives the answer."""
-
-    def __init__(self, clock, targets: TargetTable, attempt: Attempt):
-        self._clock = clock
-        self._targets = targets
-        self._attempt = attempt
-
-    async def run(
-        self, request: server.Request, call: Call, reservation: Reservation
-    ) -> Delivered:
-        """Delivers the answer; raises as Attempts.run says."""
-        tried: set[str] = set()
-        refusal = ApiError(
-            "no_target",
-            f"no target of {call.service.name} can take the call",
-            retry_after_ms=defaults.RETRY_AFTER_MS,
-        )
-        while len(tried) < MAX_ATTEMPTS:
-            target = self._targets.pick(call.service, tried)
-            if target is None:
-                break
-            tried.add(target.name)
-            try:
-                return await self._attempt.run(
-                    request, call, reservation, target
-                )
-            except NotDeliveredError as error:
-                if error.started:
-                    raise
-                refusal = error.refusal or refusal
-            if self._clock.seconds() >= call.deadline:
-                break
-        raise refusal
-
-
 class OwnerAttempts:
     """Asks the one target that may run a call that may not be repeated."""
 
--- a/chicorystack/router/forwarder.py
+++ b/chicorystack/router/forwarder.py
@@ -1,5 +1,6 @@
 """Sends a call to an agent and its answer to the caller as it comes."""
 
+from collections.abc import Callable
 from typing import NamedTuple
 
 import msgspec
@@ -7,11 +8,9 @@
 from twisted.web import client, http, http_headers, server
 from twisted.web.client import ResponseDone
 
-from chicorystack import defaults
 from chicorystack.calls.messages import (
     ANSWER_HEADER,
     CALL_HEADER,
-    END_EVENT_PREFIX,
     EVENT_STREAM,
     AnswerHeader,
     CallHeader,
@@ -19,11 +18,10 @@
 )
 from chicorystack.errors import ApiError, ChicoryError, ErrorReply
 from chicorystack.observe.invariants import require
+from chicorystack.router.progress import Patience, Progress
 from chicorystack.web.client import BytesProducer, make_http_agent
 from chicorystack.web.server import FLEET_TOKEN_HEADER
 
-# Longer than any end record.
-TAIL_BYTES = 256
 answer_decoder = msgspec.json.Decoder(AnswerHeader)
 end_decoder = msgspec.json.Decoder(EndRecord)
 error_decoder = msgspec.json.Decoder(ErrorReply)
@@ -58,11 +56,28 @@
 
 
 class AnswerRelay(protocol.Protocol):
-    """Writes an answer's bytes to the caller and keeps their tail."""
+    """Writes an answer's bytes to the caller.
 
-    def __init__(self, request: server.Request):
+    Of a stream it passes on whole events only, so that another target can
+    take it up after the last of them.
+    """
+
+    def __init__(
+        self,
+        clock,
+        request: server.Request,
+        progress: Progress,
+        is_stream: bool,
+        stall_s: float,
+    ):
+        self._clock = clock
         self._request = request
-        self.tail = b""
+        self._progress = progress
+        self._is_stream = is_stream
+        self._stall_s = stall_s
+        self._watch = None
+        self._last_at = clock.seconds()
+        self._paused = False
         self.finished: defer.Deferred[bool] = defer.Deferred(self._cancel)
 
     def _cancel(self, _deferred) -> None:
@@ -70,15 +85,48 @@
 
     def connectionMade(self) -> None:
         """Lets a slow caller slow the agent down."""
-        self._request.registerProducer(self.transport, True)
+        self._request.registerProducer(self, True)
+        if self._stall_s:
+            self._watch = self._clock.callLater(self._stall_s, self._look)
+
+    def pauseProducing(self) -> None:
+        """Stops reading while the caller can't take more."""
+        self._paused = True
+        self.transport.pauseProducing()
+
+    def resumeProducing(self) -> None:
+        """Reads on."""
+        self._paused = False
+        self._last_at = self._clock.seconds()
+        self.transport.resumeProducing()
+
+    def stopProducing(self) -> None:
+        """Ends the answer, as the caller has gone."""
+        self.transport.abortConnection()
+
+    def _look(self) -> None:
+        """Ends the attempt if no bytes came for too long."""
+        now = self._clock.seconds()
+        due = (now if self._paused else self._last_at) + self._stall_s
+        if due > now:
+            self._watch = self._clock.callLater(due - now, self._look)
+            return
+        self._watch = None
+        self.transport.abortConnection()
 
     def dataReceived(self, data: bytes) -> None:
         """Passes bytes on."""
-        self._request.write(data)
-        self.tail = (self.tail + data)[-TAIL_BYTES:]
+        self._last_at = self._clock.seconds()
+        if self._is_stream:
+            data = self._progress.whole_events(data)
+        if data:
+            self._progress.started = True
+            self._request.write(data)
 
     def connectionLost(self, reason) -> None:
         """Tells whether the agent ended the answer itself."""
+        if self._watch is not None:
+            self._watch.cancel()
         if not self._request._disconnected:
             self._request.unregisterProducer()
         if not self.finished.called:
@@ -88,20 +136,34 @@
 class Forwarder:
     """Exchanges calls and answers with agents."""
 
-    def __init__(self, reactor, fleet_token: str):
+    def __init__(
+        self,
+        reactor,
+        fleet_token: str,
+        on_answer: Callable[[str, AnswerHeader], None] = lambda *_: None,
+    ):
         self._reactor = reactor
+        self._on_answer = on_answer
         self._http = make_http_agent(reactor)
         self._fleet_token = fleet_token
 
     async def forward(
-        self, url: str, call: CallHeader, body: bytes, request: server.Request
+        self,
+        url: str,
+        call: CallHeader,
+        body: bytes,
+        request: server.Request,
+        progress: Progress,
+        patience: Patience,
     ) -> Delivered:
         """Sends a call and delivers its answer.
 
         Raises:
             NotDeliveredError: If the agent refuses, fails or breaks off.
         """
-        response = await self._send(url, call, body)
+        progress.begin_attempt()
+        response = await self._send(url, call, body, patience)
+        progress.first_byte_at = self._reactor.seconds()
         if not response.headers.hasHeader(ANSWER_HEADER):
             raise await _refusal(response)
         raw = response.headers.getRawHeaders(ANSWER_HEADER)[0]
@@ -111,9 +173,14 @@
             answer["key"] == call["key"],
             f"asked for {call['key']}, got {answer['key']}",
         )
-        return await self._relay(response, answer, request)
+        self._on_answer(url, answer)
+        return await self._relay(
+            response, answer, request, progress, patience.stall_s
+        )
 
-    async def _send(self, url: str, call: CallHeader, body: bytes):
+    async def _send(
+        self, url: str, call: CallHeader, body: bytes, patience: Patience
+    ):
         headers = http_headers.Headers(
             {
                 "content-type": ["application/json"],
@@ -126,7 +193,7 @@
                 b"POST", f"{url}/run".encode(), headers, BytesProducer(body)
             )
             answering.addTimeout(
-                min(defaults.ANSWER_START_TIMEOUT_S, call["timeout_ms"] / 1000),
+                min(patience.start_s, call["timeout_ms"] / 1000),
                 self._reactor,
             )
             return await answering
@@ -136,28 +203,42 @@
             raise NotDeliveredError(f"{url}: {error!r}", False) from error
 
     async def _relay(
-        self, response, answer: AnswerHeader, request: server.Request
+        self,
+        response,
+        answer: AnswerHeader,
+        request: server.Request,
+        progress: Progress,
+        stall_s: float,
     ) -> Delivered:
-        request.setResponseCode(response.code)
         content = response.headers.getRawHeaders("content-type", [""])[0]
-        request.setHeader(b"content-type", content.encode())
-        if response.length is not client.UNKNOWN_LENGTH:
-            request.setHeader(b"content-length", str(response.length).encode())
-        relay = AnswerRelay(request)
+        is_stream = content == EVENT_STREAM
+        if not progress.started:
+            _copy_head(response, content, request)
+        relay = AnswerRelay(
+            self._reactor, request, progress, is_stream, stall_s
+        )
         response.deliverBody(relay)
         complete = await relay.finished
+        if is_stream:
+            return Delivered(_tokens(progress), answer["use"])
         if not complete:
-            raise NotDeliveredError("the agent broke off", True)
-        if content != EVENT_STREAM:
-            return Delivered(answer.get("tokens", 0), answer["use"])
-        return Delivered(_end_record(relay.tail)["tokens"], answer["use"])
+            raise NotDeliveredError("the agent broke off", progress.started)
+        return Delivered(answer.get("tokens", 0), answer["use"])
+
+
+def _copy_head(response, content: str, request: server.Request) -> None:
+    request.setResponseCode(response.code)
+    request.setHeader(b"content-type", content.encode())
+    if response.length is not client.UNKNOWN_LENGTH:
+        request.setHeader(b"content-length", str(response.length).encode())
 
 
-def _end_record(tail: bytes) -> EndRecord:
-    _, found, data = tail.rpartition(END_EVENT_PREFIX)
-    if not found:
-        raise NotDeliveredError("the stream has no end record", True)
-    return end_decoder.decode(data)
+def _tokens(progress: Progress) -> int:
+    """Returns the tokens of a stream, which is whole with its end record."""
+    data = progress.end_data
+    if data is None:
+        raise NotDeliveredError("the stream broke off", progress.started)
+    return end_decoder.decode(data)["tokens"]
 
 
 async def _refusal(response) -> NotDeliveredError:
--- a/chicorystack/router/main.py
+++ b/chicorystack/router/main.py
@@ -16,14 +16,11 @@
 from chicorystack.platform.log_client import LogClient, LogFollower
 from chicorystack.platform.vm_list import VmListPoller
 from chicorystack.router.admission import Admission
-from chicorystack.router.attempts import (
-    Attempt,
-    OwnerAttempts,
-    RepeatableAttempts,
-)
+from chicorystack.router.attempts import Attempt, OwnerAttempts
 from chicorystack.router.auth import CustomerDirectory
 from chicorystack.router.dispatcher import Dispatcher
 from chicorystack.router.forwarder import Forwarder
+from chicorystack.router.policies import Policy
 from chicorystack.router.resources import caller_tree
 from chicorystack.routing.targets import TargetTable
 from chicorystack.settings.loader import run_program, settings_command
@@ -62,7 +59,7 @@
         self._vm_list = VmListPoller(
             reactor, self._client, settings.vm_list_url
         )
-        self._targets = TargetTable(settings.data_centre)
+        self._targets = TargetTable(settings.data_centre, settings.name)
         self._draining = False
         log_client = LogClient(reactor, self._client, settings.log_url)
         self._config_follower = LogFollower(
@@ -77,15 +74,19 @@
         self._budgets = BudgetClient(reactor, locator)
         customers = CustomerDirectory(reactor, self._budgets)
         admission = Admission(reactor, settings.site, customers, self._budgets)
-        attempt = Attempt(
-            reactor, self._targets, Forwarder(reactor, settings.fleet_token)
+        self._policy = Policy(
+            reactor, settings, self._store, self._client, self._targets
+        )
+        forwarder = Forwarder(
+            reactor, settings.fleet_token, self._policy.note_answer
         )
+        attempt = Attempt(reactor, self._targets, forwarder)
         self._dispatcher = Dispatcher(
             reactor,
             self._store,
             admission,
             self._budgets,
-            RepeatableAttempts(reactor, self._targets, attempt),
+            self._policy.attempts(attempt),
             OwnerAttempts(self._targets, attempt),
         )
         self._store.on_change(lambda _: self._update_targets())
@@ -110,6 +111,7 @@
         self._config_follower.start()
         self._vm_list.start()
         self._budgets.start()
+        self._policy.poller.start()
         self._review_loop.start(defaults.SHARD_REVIEW_S)
         log.info("serves site {}", self._settings.site)
 
--- /dev/null
+++ b/chicorystack/router/plain_attempts.py
@@ -0,0 +1,52 @@
+"""Attempts under a plain policy, as a baseline for comparison."""
+
+from twisted.web import server
+
+from chicorystack import defaults
+from chicorystack.budget.wallet import Reservation
+from chicorystack.errors import ApiError
+from chicorystack.router.admission import Call
+from chicorystack.router.attempts import Attempt
+from chicorystack.router.forwarder import Delivered, NotDeliveredError
+from chicorystack.routing.pickers import Picker
+from chicorystack.routing.targets import TargetTable
+
+
+class PlainAttempts:
+    """Tries one target after another: no queue, ejection or resumption."""
+
+    def __init__(
+        self, clock, targets: TargetTable, attempt: Attempt, picker: Picker
+    ):
+        self._clock = clock
+        self._targets = targets
+        self._attempt = attempt
+        self._picker = picker
+
+    async def run(
+        self, request: server.Request, call: Call, reservation: Reservation
+    ) -> Delivered:
+        """Delivers the answer; raises as Attempts.run says."""
+        tried: frozenset[str] = frozenset()
+        refusal = ApiError(
+            "no_target",
+            f"no target of {call.service.name} can take the call",
+            retry_after_ms=defaults.RETRY_AFTER_MS,
+        )
+        while len(tried) < defaults.MAX_ATTEMPTS:
+            usable = self._targets.usable(call.service, tried)
+            target = self._picker.pick(usable)
+            if target is None:
+                break
+            tried |= {target.name}
+            try:
+                return await self._attempt.run(
+                    request, call, reservation, target
+                )
+            except NotDeliveredError as error:
+                if error.started:
+                    raise
+                refusal = error.refusal or refusal
+            if self._clock.seconds() >= call.deadline:
+                break
+        raise refusal
--- /dev/null
+++ b/chicorystack/router/policies.py
@@ -0,0 +1,88 @@
+"""Builds the policy that a router's settings name."""
+
+import random
+from collections.abc import Callable
+
+from chicorystack.calls.messages import AnswerHeader
+from chicorystack.config.store import ConfigStore
+from chicorystack.errors import UserError
+from chicorystack.router.attempts import Attempt, Attempts
+from chicorystack.router.plain_attempts import PlainAttempts
+from chicorystack.router.repeatable_attempts import RepeatableAttempts
+from chicorystack.routing.call_queue import CallQueues
+from chicorystack.routing.load_poller import LoadPoller
+from chicorystack.routing.pickers import (
+    LeastSent,
+    Picker,
+    RoundRobin,
+    SampledLeastLoaded,
+)
+from chicorystack.routing.targets import TargetTable
+from chicorystack.routing.timings import Timings
+from chicorystack.settings.types import RouterSettings
+from chicorystack.web.client import JsonClient
+
+PLAIN_PICKERS = ("round_robin", "least_sent")
+
+
+class Policy:
+    """A router's way to choose targets.
+
+    Attributes:
+        poller: Polls the targets' load.
+    """
+
+    def __init__(
+        self,
+        clock,
+        settings: RouterSettings,
+        store: ConfigStore,
+        client: JsonClient,
+        targets: TargetTable,
+    ):
+        self._clock = clock
+        self._settings = settings
+        self._targets = targets
+        self._timings = Timings()
+        make_picker = picker_factory(settings)
+        self._picker = make_picker()
+        self._queues = CallQueues(clock, targets, make_picker, self._timings)
+        self.poller = LoadPoller(
+            clock, client, store, settings.site, targets, self._queues
+        )
+
+    def attempts(self, attempt: Attempt) -> Attempts:
+        """Returns the attempts at repeatable calls."""
+        if self._settings.picker in PLAIN_PICKERS:
+            return PlainAttempts(
+                self._clock, self._targets, attempt, self._picker
+            )
+        return RepeatableAttempts(
+            self._clock, self._targets, attempt, self._queues, self._timings
+        )
+
+    def note_answer(self, url: str, answer: AnswerHeader) -> None:
+        """Takes the load that an agent's answer tells."""
+        name = self._targets.name_of(url)
+        if name is not None:
+            self._targets.note_in_flight(
+                name, answer["in_flight"], self._clock.seconds()
+            )
+
+
+def picker_factory(settings: RouterSettings) -> Callable[[], Picker]:
+    """Returns what makes the pickers that the settings name.
+
+    Raises:
+        UserError: If there is no such picker.
+    """
+    data_centre = settings.data_centre
+    factory_by_name: dict[str, Callable[[], Picker]] = {
+        "round_robin": RoundRobin,
+        "least_sent": lambda: LeastSent(data_centre),
+        "sampled": lambda: SampledLeastLoaded(data_centre, random.Random()),
+    }
+    if settings.picker not in factory_by_name:
+        known = ", ".join(sorted(factory_by_name))
+        raise UserError(f"unknown picker '{settings.picker}'; one of {known}")
+    return factory_by_name[settings.picker]
--- a/chicorystack/routing/targets.py
+++ b/chicorystack/routing/targets.py
@@ -1,7 +1,10 @@
 """The targets that a router may send calls to, and their state."""
 
+from collections.abc import Callable
 from typing import NamedTuple
 
+from chicorystack import defaults
+from chicorystack.calls.messages import LoadReport
 from chicorystack.config.model import FleetConfig, Service
 from chicorystack.platform.messages import Vm
 from chicorystack.util import rendezvous_order
@@ -16,6 +19,11 @@
         data_centre: Its data centre.
         leaving: Whether it takes no new calls.
         sent: Calls that this router has in flight there.
+        service: Service that it offers.
+        limit: Most calls in flight there from all routers.
+        others: Calls of other routers there, when last reported.
+        ready: Whether its agent takes calls, when last reported.
+        reported_at: Time on the router's clock of the last report.
     """
 
     name: str
@@ -23,6 +31,21 @@
     data_centre: str
     leaving: bool = False
     sent: int = 0
+    service: str = ""
+    limit: int = defaults.MAX_IN_FLIGHT_PER_TARGET
+    others: int = 0
+    ready: bool = True
+    reported_at: float = 0.0
+
+    @property
+    def load(self) -> int:
+        """Calls there: the reported ones, corrected by what was sent since."""
+        return self.sent + self.others
+
+    @property
+    def has_room(self) -> bool:
+        """Whether one more call keeps within the limit."""
+        return self.load < self.limit
 
 
 class TargetTable:
@@ -32,9 +55,16 @@
         target_by_name: Targets that are in both.
     """
 
-    def __init__(self, data_centre: str):
+    def __init__(self, data_centre: str, router: str = ""):
         self._data_centre = data_centre
+        self._router = router
+        self._room_listeners: list[Callable[[str], None]] = []
         self.target_by_name: dict[str, TargetState] = {}
+        self._name_by_url: dict[str, str] = {}
+
+    def on_room(self, listener: Callable[[str], None]) -> None:
+        """Calls listener with a service whose targets may have room."""
+        self._room_listeners.append(listener)
 
     def update(
         self, config: FleetConfig, site: str, vm_by_name: dict[str, Vm]
@@ -49,29 +79,51 @@
                 if name not in vm_by_name:
                     continue
                 vm = vm_by_name[name]
-                self.target_by_name[name] = TargetState(
-                    name,
-                    f"http://{vm['address']}:{vm['port']}",
-                    target.data_centre,
-                    vm["state"] == "leaving",
-                    earlier[name].sent if name in earlier else 0,
+                known = earlier.get(name, TargetState(name, "", ""))
+                self.target_by_name[name] = known._replace(
+                    url=f"http://{vm['address']}:{vm['port']}",
+                    data_centre=target.data_centre,
+                    leaving=vm["state"] == "leaving",
+                    service=service.name,
+                    limit=service.max_in_flight,
                 )
+            self._tell_room(service.name)
+        self._name_by_url = {
+            target.url: name for name, target in self.target_by_name.items()
+        }
+
+    def name_of(self, url: str) -> str | None:
+        """Returns the name of the target whose agent has this URL."""
+        return self._name_by_url.get(url)
 
-    def pick(self, service: Service, tried: set[str]) -> TargetState | None:
-        """Returns the target with the fewest calls from here.
+    def subset(self, service: Service) -> list[TargetState]:
+        """Returns the targets of a service that this router works with.
 
-        Among equals it is one of this router's own data centre.
+        Half are of its own data centre where there are enough; the choice
+        is by rendezvous hashing, so that routers spread over targets.
         """
-        candidates = [
+        names = rendezvous_order(self._router, service.target_by_name)
+        known = [
             self.target_by_name[name]
-            for name in service.target_by_name
-            if name in self.target_by_name and name not in tried
+            for name in names
+            if name in self.target_by_name
+        ]
+        if len(known) <= defaults.TARGETS_PER_ROUTER:
+            return known
+        near = [t for t in known if t.data_centre == self._data_centre]
+        near = near[: defaults.TARGETS_PER_ROUTER // 2]
+        far = [target for target in known if target not in near]
+        return near + far[: defaults.TARGETS_PER_ROUTER - len(near)]
+
+    def usable(
+        self, service: Service, tried: frozenset[str]
+    ) -> list[TargetState]:
+        """Returns the subset's targets that take new calls."""
+        return [
+            target
+            for target in self.subset(service)
+            if target.ready and not target.leaving and target.name not in tried
         ]
-        usable = [target for target in candidates if not target.leaving]
-        return min(usable, key=self._cost, default=None)
-
-    def _cost(self, target: TargetState) -> tuple[int, bool]:
-        return target.sent, target.data_centre != self._data_centre
 
     def owner(self, service: Service, key: str) -> TargetState | None:
         """Returns the one target that may run an unrepeatable call."""
@@ -81,7 +133,40 @@
     def note_sent(self, name: str, change: int) -> None:
         """Counts a call that begins (+1) or ends (-1)."""
         target = self.target_by_name.get(name)
-        if target is not None:
-            self.target_by_name[name] = target._replace(
-                sent=max(0, target.sent + change)
-            )
+        if target is None:
+            return
+        sent = max(0, target.sent + change)
+        self.target_by_name[name] = target._replace(sent=sent)
+        if change < 0:
+            self._tell_room(target.service)
+
+    def note_in_flight(self, name: str, in_flight: int, now: float) -> None:
+        """Takes an agent's count of calls in flight, this router's included."""
+        target = self.target_by_name.get(name)
+        if target is None:
+            return
+        self.target_by_name[name] = target._replace(
+            others=max(0, in_flight - target.sent), reported_at=now
+        )
+
+    def note_report(self, report: LoadReport, now: float) -> None:
+        """Takes an agent's load report."""
+        name = report["target"]
+        if name not in self.target_by_name:
+            return
+        self.note_in_flight(name, report["in_flight"], now)
+        target = self.target_by_name[name]._replace(ready=report["ready"])
+        self.target_by_name[name] = target
+        self._tell_room(target.service)
+
+    def note_full(self, name: str) -> None:
+        """Takes an agent's refusal for want of room."""
+        target = self.target_by_name.get(name)
+        if target is None:
+            return
+        others = max(target.others, target.limit - target.sent)
+        self.target_by_name[name] = target._replace(others=others)
+
+    def _tell_room(self, service: str) -> None:
+        for listener in self._room_listeners:
+            listener(service)
