--- a/chicorystack/agent/generations.py
+++ b/chicorystack/agent/generations.py
@@ -54,7 +54,7 @@
             # A slow router slows the engine's stream down.
             request.registerProducer(reader.transport, True)
             gone = request.notifyFinish()
-            gone.addErrback(lambda _: reader.transport.abortConnection())
+            gone.addErrback(lambda _: reader.transport.loseConnection())
 
         self.in_flight += 1
         try:
--- a/chicorystack/defaults.py
+++ b/chicorystack/defaults.py
@@ -54,6 +54,14 @@
 # Part of a target's limit by which another data centre's must be freer.
 OTHER_DATA_CENTRE_LOAD = 0.1
 QUEUE_WAIT_MAX_S = 0.4
+# For a call of a customer within its fair share.
+SHARE_WAIT_MAX_S = 1.0
+# Age of a report from which a call may try whether a target has room.
+PROBE_AGE_S = 0.1
+PROBE_INTERVAL_S = 0.02
+PRIORITY_HEAD_START_S = 0.4
+RANK_MIX_GAIN = 0.05
+LEAST_PACE_PART = 0.02
 # Calls by which one customer may run ahead of another while both wait.
 FAIR_WINDOW_CALLS = 2.0
 TIMING_GAIN = 0.1
@@ -61,7 +69,6 @@
 STALL_BOUND_MIN_S = 0.5
 STALL_GAPS = 10
 MAX_ATTEMPTS = 3
-MAX_FULL_REFUSALS = 8
 RETRIES_PER_CALL = 0.1
 RETRY_BUDGET_MAX = 20
 RETRY_DELAY_MAX_S = 0.02
@@ -69,7 +76,7 @@
 LOAD_REPORT_TIMEOUT_S = 0.5
 
 # Ejection of targets.
-EJECT_FAILURES = 3
+EJECT_FAILURES = 2
 EJECT_S = 2.0
 EJECT_MAX_S = 60.0
 RAMP_END = 16
--- a/chicorystack/router/forwarder.py
+++ b/chicorystack/router/forwarder.py
@@ -81,7 +81,7 @@
         self.finished: defer.Deferred[bool] = defer.Deferred(self._cancel)
 
     def _cancel(self, _deferred) -> None:
-        self.transport.abortConnection()
+        self.transport.loseConnection()
 
     def connectionMade(self) -> None:
         """Lets a slow caller slow the agent down."""
@@ -102,7 +102,7 @@
 
     def stopProducing(self) -> None:
         """Ends the answer, as the caller has gone."""
-        self.transport.abortConnection()
+        self.transport.loseConnection()
 
     def _look(self) -> None:
         """Ends the attempt if no bytes came for too long."""
@@ -112,7 +112,7 @@
             self._watch = self._clock.callLater(due - now, self._look)
             return
         self._watch = None
-        self.transport.abortConnection()
+        self.transport.loseConnection()
 
     def dataReceived(self, data: bytes) -> None:
         """Passes bytes on."""
--- a/chicorystack/router/repeatable_attempts.py
+++ b/chicorystack/router/repeatable_attempts.py
@@ -48,24 +48,28 @@
         progress = Progress()
         progress.resumable = call.service.resumable
         tried: list[str] = []
-        full = 0
+        refused = False
         while True:
-            target = await self._take(call, tried, progress)
+            target = await self._take(call, tried, progress, refused)
             last = len(tried) + 1 >= defaults.MAX_ATTEMPTS
             try:
                 return await self._run_one(
                     request, call, reservation, target, progress, tried, last
                 )
             except NotDeliveredError as error:
-                if _is_full(error) and full < defaults.MAX_FULL_REFUSALS:
-                    self._targets.note_full(target.name)
-                    full += 1
+                if _is_full(error):
+                    self._targets.note_full(target.name, self._clock.seconds())
+                    refused = True
                     continue
                 tried.append(target.name)
                 await self._prepare_retry(call, error, last)
 
     async def _take(
-        self, call: Call, tried: list[str], progress: Progress
+        self,
+        call: Call,
+        tried: list[str],
+        progress: Progress,
+        granted_before: bool,
     ) -> TargetState:
         ticket = Ticket(
             call.service,
@@ -74,6 +78,7 @@
             call.operation.priority,
             frozenset(tried),
             call.deadline,
+            granted_before,
         )
         try:
             return await self._queues.queue(call.service.name).take(ticket)
@@ -95,6 +100,8 @@
         operation = OperationId(call.service.name, call.operation.name)
         patience = self._patience(call, operation, len(tried), last)
         health = self._queues.health(call.service.name)
+        queue = self._queues.queue(call.service.name)
+        queue.note_begun(call.customer)
         begun_at = self._clock.seconds()
         events_before = progress.events
         try:
@@ -106,6 +113,7 @@
                 health.note_failure(target.name)
             raise
         finally:
+            queue.note_ended(call.customer)
             self._note_first_byte(target, operation, begun_at, progress)
         health.note_success(target.name)
         elapsed_s = self._clock.seconds() - begun_at
--- a/chicorystack/routing/health.py
+++ b/chicorystack/routing/health.py
@@ -22,6 +22,7 @@
         ejected_until: Time on the clock until which it gets no calls.
         ejections: Ejections in a row.
         ramp: Most calls in flight while it comes back; 0 for no such limit.
+        silent: Whether its agent has not reported since it was ejected.
     """
 
     failures: int = 0
@@ -30,6 +31,7 @@
     ejected_until: float = 0.0
     ejections: int = 0
     ramp: int = 0
+    silent: bool = False
 
 
 class HealthTable:
@@ -44,7 +46,7 @@
         health = self._health_by_target.get(name)
         if health is None:
             return True
-        if self._clock.seconds() < health.ejected_until:
+        if health.silent or self._clock.seconds() < health.ejected_until:
             return False
         return health.ramp == 0 or sent < health.ramp
 
@@ -89,6 +91,11 @@
         if failures >= defaults.EJECT_FAILURES or health.ramp:
             self._eject(name, "failing")
 
+    def note_report(self, name: str) -> None:
+        """Takes a load report, which shows that the agent is there."""
+        if name in self._health_by_target:
+            self._put(name, self._health(name)._replace(silent=False))
+
     def forget_others(self, names: set[str]) -> None:
         """Drops what is known of targets that are no longer there."""
         for name in set(self._health_by_target) - names:
@@ -126,4 +133,4 @@
         log.warning("ejects target {} for {} s: {}", name, span_s, reason)
         ejections = health.ejections + 1
         fresh = TargetHealth(ejected_until=now + span_s, ejections=ejections)
-        self._put(name, fresh._replace(ramp=1))
+        self._put(name, fresh._replace(ramp=1, silent=True))
--- a/chicorystack/routing/load_poller.py
+++ b/chicorystack/routing/load_poller.py
@@ -63,4 +63,5 @@
         except (UnreachableError, ApiError):
             health.note_failure(target.name)
             return
+        health.note_report(target.name)
         self._targets.note_report(report, self._clock.seconds())
--- a/chicorystack/routing/targets.py
+++ b/chicorystack/routing/targets.py
@@ -159,13 +159,15 @@
         self.target_by_name[name] = target
         self._tell_room(target.service)
 
-    def note_full(self, name: str) -> None:
+    def note_full(self, name: str, now: float) -> None:
         """Takes an agent's refusal for want of room."""
         target = self.target_by_name.get(name)
         if target is None:
             return
         others = max(target.others, target.limit - target.sent)
-        self.target_by_name[name] = target._replace(others=others)
+        self.target_by_name[name] = target._replace(
+            others=others, reported_at=now
+        )
 
     def _tell_room(self, service: str) -> None:
         for listener in self._room_listeners:
