--- a/tests/routing/test_call_queue.py
+++ b/tests/routing/test_call_queue.py
@@ -32,7 +32,11 @@
     "here",
     "engine",
     {},
-    {name: Target(name, f"dc-{index}") for index, name in enumerate(NAMES)},
+    {
+        "t-1": Target("t-1", "dc-0"),
+        "t-2": Target("t-2", "dc-1"),
+        "t-3": Target("t-3", "dc-1"),
+    },
     max_in_flight=LIMIT,
 )
 OPERATION = OperationId("model", "ask")
@@ -173,9 +177,9 @@
 
 
 def test_a_retry_goes_to_another_data_centre(bench):
-    for _ in range(4):
+    for _ in range(LIMIT):
         bench.call("a", tried=["t-2"])
-    assert {target for _, target in bench.granted} == {"t-1", "t-3"}
+    assert {target for _, target in bench.granted} == {"t-1"}
 
 
 def test_an_ejected_target_gets_no_calls_while_others_live(bench):
--- a/tests/routing/test_health.py
+++ b/tests/routing/test_health.py
@@ -53,9 +53,9 @@
 
 
 def test_most_targets_are_never_ejected_as_slow(health):
-    answer_all(health, slow=NAMES[:6])
+    answer_all(health, slow=NAMES[:4])
     ejected = [name for name in NAMES if not health.admits(name, 0)]
-    assert len(ejected) <= len(NAMES) * defaults.SLOW_EJECTED_MAX
+    assert len(ejected) == int(len(NAMES) * defaults.SLOW_EJECTED_MAX)
 
 
 def test_even_slowness_ejects_nobody(health):
