--- a/chicorystack/agent/gate.py
+++ b/chicorystack/agent/gate.py
@@ -1,5 +1,7 @@
 """The last gate before a target: takes calls from routers."""
 
+from collections.abc import Callable
+
 import msgspec
 from twisted.web import resource, server
 
@@ -15,8 +17,15 @@
 from chicorystack.config.model import Service
 from chicorystack.config.store import ConfigStore
 from chicorystack.errors import ApiError
+from chicorystack.observe.decisions import decisions
+from chicorystack.observe.metrics import metrics
 from chicorystack.settings.types import AgentSettings
-from chicorystack.web.server import Authorizer, header, run_handler
+from chicorystack.web.server import (
+    Authorizer,
+    header,
+    refuse_method,
+    run_handler,
+)
 
 call_decoder = msgspec.json.Decoder(CallHeader)
 
@@ -37,6 +46,7 @@
         generations: Generations,
         service_calls: ServiceCalls,
         authorize: Authorizer,
+        note_version: Callable[[int], None],
     ):
         super().__init__()
         self._settings = settings
@@ -44,6 +54,7 @@
         self._generations = generations
         self._service_calls = service_calls
         self._authorize = authorize
+        self._note_version = note_version
         self._reported = EngineLoad(running=0, queued=0)
         self.draining = False
 
@@ -52,8 +63,10 @@
         """Calls given to the target and not finished."""
         return self._generations.in_flight + self._service_calls.in_flight
 
-    def render_POST(self, request: server.Request) -> int:
+    def render(self, request: server.Request) -> int:
         """Handles one call."""
+        if request.method != b"POST":
+            return refuse_method(request, "POST")
         return run_handler(request, self._handle(request))
 
     async def load(self, _message: Empty) -> LoadReport:
@@ -64,6 +77,7 @@
             in_flight=self.in_flight,
             running=self._reported["running"],
             queued=self._reported["queued"],
+            config_version=self._store.config.version,
         )
 
     def note_target_load(self, load: EngineLoad) -> None:
@@ -77,6 +91,16 @@
     async def _handle(self, request: server.Request) -> None:
         self._authorize(request)
         call = _decode_call(request)
+        self._note_version(call.get("config_version", 0))
+        metrics.count("gate.received")
+        try:
+            await self._serve(request, call)
+        except ApiError as error:
+            metrics.count(f"gate.refused.{error.code}")
+            decisions.record_notable(call["key"], "gate", "refused", str(error))
+            raise
+
+    async def _serve(self, request: server.Request, call: CallHeader) -> None:
         service = self._service()
         if service is None:
             raise ApiError("not_ready", "the agent has no configuration yet")
@@ -84,6 +108,7 @@
             raise ApiError("draining", "the target is leaving")
         if call["repeatable"] and self.in_flight >= service.max_in_flight:
             raise ApiError("overloaded", "the target has no room")
+        decisions.record(call["key"], "gate", "let through", call["use"])
         if service.kind == "engine":
             await self._generations.serve(request, call)
         elif call["repeatable"]:
--- a/chicorystack/agent/main.py
+++ b/chicorystack/agent/main.py
@@ -11,12 +11,20 @@
 from chicorystack.agent.target_client import TargetClient
 from chicorystack.calls.messages import Empty, EngineLoad
 from chicorystack.calls.run_table import RunTable
-from chicorystack.config.messages import CONFIG_STREAM
+from chicorystack.config.peers import PeerPoller, config_peers
 from chicorystack.config.store import ConfigStore
 from chicorystack.errors import ApiError
+from chicorystack.observe.endpoints import (
+    ProcessStatus,
+    Readiness,
+    make_status,
+    put_observe_endpoints,
+)
 from chicorystack.observe.logs import part_logger, setup_logs
-from chicorystack.platform.log_client import LogClient, LogFollower
-from chicorystack.settings.loader import run_program, settings_command
+from chicorystack.observe.metrics import start_metrics
+from chicorystack.platform.vm_list import VmListPoller
+from chicorystack.settings.command_line import run_program
+from chicorystack.settings.loader import settings_command
 from chicorystack.settings.types import AgentSettings
 from chicorystack.web.client import (
     JsonClient,
@@ -40,9 +48,11 @@
         self._settings = settings
         self._client = JsonClient(reactor, settings.fleet_token)
         self._store = ConfigStore()
-        log_client = LogClient(reactor, self._client, settings.log_url)
-        self._config_follower = LogFollower(
-            reactor, log_client, CONFIG_STREAM, self._store.deliver
+        self._vm_list = VmListPoller(
+            reactor, self._client, settings.vm_list_url
+        )
+        self._config_peers = PeerPoller(
+            reactor, self._client, self._store, self._peer_urls, lambda: True
         )
         target = TargetClient(make_http_agent(reactor), settings.target_url)
         authorize = fleet_authorizer(settings.fleet_token)
@@ -52,16 +62,19 @@
             Generations(target),
             ServiceCalls(target, RunTable(reactor)),
             authorize,
+            self._config_peers.note_version,
         )
         self._load_loop = task.LoopingCall(self._poll_target_load)
         root = Tree()
         root.put("run", self._gate)
         root.put("load", JsonEndpoint(Empty, self._gate.load, authorize))
+        put_observe_endpoints(root, authorize, self._readiness, self._status)
         self._port = listen(reactor, root, settings.address, settings.port)
 
     def start(self) -> None:
         """Begins to follow the configuration and the target's load."""
-        self._config_follower.start()
+        self._vm_list.start()
+        self._config_peers.start()
         self._load_loop.start(defaults.LOAD_REPORT_INTERVAL_S)
         log.info("guards target {}", self._settings.name)
 
@@ -73,6 +86,29 @@
             await task.deferLater(reactor, defaults.DRAIN_CHECK_S)
         reactor.stop()
 
+    def _readiness(self) -> Readiness:
+        version = self._store.config.version
+        readiness = Readiness(ready=True, config_version=version)
+        if self._gate.draining:
+            readiness |= {"ready": False, "reason": "draining"}
+        elif version == 0:
+            readiness |= {"ready": False, "reason": "no configuration yet"}
+        return readiness
+
+    def _status(self) -> ProcessStatus:
+        return make_status(
+            self._settings.name,
+            "agent",
+            self._readiness(),
+            self._gate.in_flight,
+        )
+
+    def _peer_urls(self) -> list[str]:
+        vms = list(self._vm_list.vm_by_name.values())
+        return config_peers(
+            vms, self._settings.name, self._settings.data_centre
+        )
+
     def _poll_target_load(self):
         return defer.ensureDeferred(self._fetch_target_load())
 
@@ -88,6 +124,7 @@
 def run(settings: AgentSettings) -> None:
     """Runs an agent until it is told to stop."""
     setup_logs(settings.name, settings.log_level)
+    start_metrics(reactor, settings.statsd, settings.name)
     process = AgentProcess(settings)
     process.start()
     signal.signal(
--- a/chicorystack/calls/messages.py
+++ b/chicorystack/calls/messages.py
@@ -37,6 +37,7 @@
         timeout_ms: Time left to the caller's deadline; the receiver turns it
             into a deadline on its own clock at once.
         resume_tokens: Generated tokens that the caller has already.
+        config_version: Configuration in force at the router.
     """
 
     site: str
@@ -54,6 +55,7 @@
     priority: Priority
     timeout_ms: int
     resume_tokens: NotRequired[int]
+    config_version: NotRequired[int]
 
 
 class AnswerHeader(TypedDict):
@@ -94,6 +96,7 @@
         in_flight: Calls that the agent has given to the target.
         running: Calls running, as the target last said.
         queued: Calls waiting, as the target last said.
+        config_version: Configuration in force at the agent.
     """
 
     target: str
@@ -101,6 +104,7 @@
     in_flight: int
     running: int
     queued: int
+    config_version: int
 
 
 class Empty(TypedDict):
--- a/chicorystack/router/policies.py
+++ b/chicorystack/router/policies.py
@@ -5,7 +5,6 @@
 
 from chicorystack.calls.messages import AnswerHeader
 from chicorystack.config.store import ConfigStore
-from chicorystack.errors import UserError
 from chicorystack.router.attempts import Attempt, Attempts
 from chicorystack.router.plain_attempts import PlainAttempts
 from chicorystack.router.repeatable_attempts import RepeatableAttempts
@@ -19,7 +18,7 @@
 )
 from chicorystack.routing.targets import TargetTable
 from chicorystack.routing.timings import Timings
-from chicorystack.settings.types import RouterSettings
+from chicorystack.settings.types import PickerName, RouterSettings
 from chicorystack.web.client import JsonClient
 
 PLAIN_PICKERS = ("round_robin", "least_sent")
@@ -71,18 +70,11 @@
 
 
 def picker_factory(settings: RouterSettings) -> Callable[[], Picker]:
-    """Returns what makes the pickers that the settings name.
-
-    Raises:
-        UserError: If there is no such picker.
-    """
+    """Returns what makes the pickers that the settings name."""
     data_centre = settings.data_centre
-    factory_by_name: dict[str, Callable[[], Picker]] = {
+    factory_by_name: dict[PickerName, Callable[[], Picker]] = {
         "round_robin": RoundRobin,
         "least_sent": lambda: LeastSent(data_centre),
         "sampled": lambda: SampledLeastLoaded(data_centre, random.Random()),
     }
-    if settings.picker not in factory_by_name:
-        known = ", ".join(sorted(factory_by_name))
-        raise UserError(f"unknown picker '{settings.picker}'; one of {known}")
     return factory_by_name[settings.picker]
