--- a/chicorystack/agent/gate.py
+++ b/chicorystack/agent/gate.py
@@ -9,6 +9,7 @@
 from chicorystack.agent.service_calls import ServiceCalls
 from chicorystack.calls.messages import (
     CALL_HEADER,
+    KEY_HEADER,
     CallHeader,
     Empty,
     EngineLoad,
@@ -91,6 +92,8 @@
     async def _handle(self, request: server.Request) -> None:
         self._authorize(request)
         call = _decode_call(request)
+        # Refusals carry the key, too: a crossed one must not pass for ours.
+        request.setHeader(KEY_HEADER, call["key"])
         self._note_version(call.get("config_version", 0))
         metrics.count("gate.received")
         try:
@@ -104,7 +107,7 @@
         service = self._service()
         if service is None:
             raise ApiError("not_ready", "the agent has no configuration yet")
-        if self.draining:
+        if self.draining and not call.get("refuse"):
             raise ApiError("draining", "the target is leaving")
         if call["repeatable"] and self.in_flight >= service.max_in_flight:
             raise ApiError("overloaded", "the target has no room")
--- a/chicorystack/router/attempts.py
+++ b/chicorystack/router/attempts.py
@@ -6,7 +6,6 @@
 
 from chicorystack import defaults
 from chicorystack.budget.wallet import Reservation
-from chicorystack.errors import ApiError
 from chicorystack.observe.decisions import decisions
 from chicorystack.observe.logs import part_logger
 from chicorystack.observe.metrics import metrics
@@ -17,6 +16,7 @@
     NotDeliveredError,
 )
 from chicorystack.router.progress import Patience, Progress
+from chicorystack.router.settler import Settler
 from chicorystack.routing.targets import TargetState, TargetTable
 
 log = part_logger("attempts")
@@ -40,10 +40,17 @@
 class Attempt:
     """One attempt at one target."""
 
-    def __init__(self, clock, targets: TargetTable, forwarder: Forwarder):
+    def __init__(
+        self,
+        clock,
+        targets: TargetTable,
+        forwarder: Forwarder,
+        settler: Settler,
+    ):
         self._clock = clock
         self._targets = targets
         self._forwarder = forwarder
+        self._settler = settler
 
     async def run(
         self,
@@ -64,6 +71,8 @@
         if progress.events:
             header["resume_tokens"] = progress.events
         self._targets.note_sent(target.name, +1)
+        if reservation.use:
+            self._settler.note_sent(reservation.use, target)
         metrics.count("attempts.sent")
         decisions.record(call.key, "attempts", "sent", target.name)
         try:
@@ -81,34 +90,3 @@
             self._targets.note_sent(target.name, -1)
         request.finish()
         return delivered
-
-
-class OwnerAttempts:
-    """Asks the one target that may run a call that may not be repeated."""
-
-    def __init__(self, targets: TargetTable, attempt: Attempt):
-        self._targets = targets
-        self._attempt = attempt
-
-    async def run(
-        self, request: server.Request, call: Call, reservation: Reservation
-    ) -> Delivered:
-        """Delivers the answer; raises as Attempts.run says."""
-        target = self._targets.owner(call.service, call.key)
-        if target is None:
-            raise _owner_unreachable(call)
-        try:
-            return await self._attempt.run(request, call, reservation, target)
-        except NotDeliveredError as error:
-            if error.started:
-                raise
-            raise error.refusal or _owner_unreachable(call) from error
-
-
-def _owner_unreachable(call: Call) -> ApiError:
-    return ApiError(
-        "no_target",
-        f"the target of {call.service.name} that owns this key does not answer",
-        "unknown",
-        defaults.RETRY_AFTER_MS,
-    )
