--- a/chicorystack/standin/engine.py
+++ b/chicorystack/standin/engine.py
@@ -60,8 +60,16 @@
 
     isLeaf = True
 
-    def __init__(self, clock, slots: int, first_token_s: float, gap_s: float):
+    def __init__(
+        self,
+        clock,
+        slots: int,
+        first_token_s: float,
+        gap_s: float,
+        answer_tokens: int = 0,
+    ):
         super().__init__()
+        self._answer_tokens = answer_tokens
         self._clock = clock
         self._slots = PrioritySlots(slots)
         self._first_token_s = first_token_s
@@ -110,7 +118,9 @@
         request.setHeader(b"content-type", EVENT_STREAM.encode())
         due = await self._pause(self._clock.seconds(), self._first_token_s)
         generated = message.get("resume_tokens", 0)
-        for index, word in enumerate(generate_words(message)):
+        for index, word in enumerate(
+            generate_words(message, self._answer_tokens)
+        ):
             if index < generated:
                 continue
             request.write(b"data: " + encoder.encode({"text": word}) + b"\n\n")
@@ -121,7 +131,7 @@
         usage = EngineUsage(
             done=True,
             prompt_tokens=count_prompt_tokens(message["prompt"]),
-            completion_tokens=answer_length(message),
+            completion_tokens=answer_length(message, self._answer_tokens),
         )
         request.write(b"data: " + encoder.encode(usage) + b"\n\n")
         request.finish()
@@ -146,16 +156,16 @@
     return -(-len(prompt.encode()) // BYTES_PER_TOKEN)
 
 
-def answer_length(message: EngineRequest) -> int:
+def answer_length(message: EngineRequest, fixed: int = 0) -> int:
     """Returns how many tokens the answer has; the same for equal prompts."""
-    natural = 8 + stable_hash(message["prompt"]) % 56
+    natural = fixed or 8 + stable_hash(message["prompt"]) % 56
     return min(natural, message["max_tokens"])
 
 
-def generate_words(message: EngineRequest) -> Iterator[str]:
+def generate_words(message: EngineRequest, fixed: int = 0) -> Iterator[str]:
     """Yields the answer's words; the same for equal prompts."""
     seed = stable_hash(message["prompt"])
-    for index in range(answer_length(message)):
+    for index in range(answer_length(message, fixed)):
         yield WORDS[(seed + index) % len(WORDS)] + " "
 
 
--- a/chicorystack/standin/main.py
+++ b/chicorystack/standin/main.py
@@ -55,6 +55,7 @@
         slots: int = 16,
         first_token_s: float = 0.05,
         gap_s: float = 0.01,
+        answer_tokens: int = 0,
     ) -> Action:
         """Serves a model engine.
 
@@ -63,8 +64,9 @@
             slots: Generations that run at a time.
             first_token_s: Time to the first token, in seconds.
             gap_s: Time between tokens, in seconds.
+            answer_tokens: Length of every answer; 0 for lengths by prompt.
         """
-        engine = Engine(reactor, slots, first_token_s, gap_s)
+        engine = Engine(reactor, slots, first_token_s, gap_s, answer_tokens)
         return _serve("engine", engine_tree(engine), port)
 
     @typed_command
