--- a/bench/pass_through.py
+++ b/bench/pass_through.py
@@ -1,9 +1,10 @@
 """A bare pass-through on twisted.web: the yardstick for a router's cost.
 
-python -m bench.pass_through LISTEN_PORT TARGET_PORT
+python -m bench.pass_through LISTEN_PORT TARGET_PORT...
 """
 
 import sys
+from itertools import cycle
 
 from twisted.internet import protocol, reactor
 from twisted.web import http_headers, resource, server
@@ -32,16 +33,19 @@
 
     isLeaf = True
 
-    def __init__(self, target_port: int):
+    def __init__(self, target_ports: list[int]):
         super().__init__()
-        self._url = f"http://{LOOPBACK}:{target_port}/generate".encode()
+        self._urls = cycle(
+            f"http://{LOOPBACK}:{port}/generate".encode()
+            for port in target_ports
+        )
         self._http = make_http_agent(reactor)
 
     def render_POST(self, request: server.Request) -> int:
         """Passes one request on."""
         headers = http_headers.Headers({"content-type": ["application/json"]})
         body = BytesProducer(request.content.read())
-        answering = self._http.request(b"POST", self._url, headers, body)
+        answering = self._http.request(b"POST", next(self._urls), headers, body)
         answering.addCallback(self._answer, request)
         return server.NOT_DONE_YET
 
@@ -50,12 +54,13 @@
         response.deliverBody(CopyBody(request))
 
 
-def main(listen_port: int, target_port: int) -> None:
+def main(listen_port: int, target_ports: list[int]) -> None:
     """Serves until it is ended."""
-    site = server.Site(PassThrough(target_port))
+    site = server.Site(PassThrough(target_ports))
     reactor.listenTCP(listen_port, site, interface=LOOPBACK)
     reactor.run()
 
 
 if __name__ == "__main__":
-    main(int(sys.argv[1]), int(sys.argv[2]))
+    ports = [int(argument) for argument in sys.argv[1:]]
+    main(ports[0], ports[1:])
