--- a/chicorystack/calls/messages.py
+++ b/chicorystack/calls/messages.py
@@ -40,6 +40,7 @@
         priority: Order in which the target takes calls.
         timeout_ms: Time left to the caller's deadline; the receiver turns it
             into a deadline on its own clock at once.
+        resume_tokens: Generated tokens that the caller has already.
         keep_answer: Whether the caller gave the key and so may ask again.
         refuse: Whether the call is to be refused for good unless it has run.
         config_version: Configuration in force at the router.
@@ -59,6 +60,7 @@
     max_tokens: int
     priority: Priority
     timeout_ms: int
+    resume_tokens: NotRequired[int]
     keep_answer: NotRequired[bool]
     refuse: NotRequired[bool]
     config_version: NotRequired[int]
