--- a/chicorystack/agent/gate.py
+++ b/chicorystack/agent/gate.py
@@ -3,6 +3,7 @@
 import msgspec
 from twisted.web import resource, server
 
+from chicorystack.agent.closures import EpochGate
 from chicorystack.agent.generations import Generations
 from chicorystack.agent.service_calls import ServiceCalls
 from chicorystack.calls.messages import (
@@ -36,6 +37,7 @@
         store: ConfigStore,
         generations: Generations,
         service_calls: ServiceCalls,
+        epochs: EpochGate,
         authorize: Authorizer,
     ):
         super().__init__()
@@ -43,6 +45,7 @@
         self._store = store
         self._generations = generations
         self._service_calls = service_calls
+        self._epochs = epochs
         self._authorize = authorize
         self._reported = EngineLoad(running=0, queued=0)
         self.draining = False
@@ -60,7 +63,11 @@
         """Returns how busy the target is."""
         return LoadReport(
             target=self._settings.name,
-            ready=not self.draining and self._service() is not None,
+            ready=(
+                not self.draining
+                and self._epochs.ready
+                and self._service() is not None
+            ),
             in_flight=self.in_flight,
             running=self._reported["running"],
             queued=self._reported["queued"],
@@ -82,6 +89,7 @@
             raise ApiError("not_ready", "the agent has no configuration yet")
         if self.draining:
             raise ApiError("draining", "the target is leaving")
+        self._epochs.check(call)
         if service.kind == "engine":
             await self._generations.serve(request, call)
         elif call["repeatable"]:
--- a/chicorystack/agent/generations.py
+++ b/chicorystack/agent/generations.py
@@ -9,6 +9,7 @@
     TargetClient,
     TargetFailedError,
 )
+from chicorystack.agent.usage_table import UsageTable
 from chicorystack.calls.messages import (
     END_EVENT_PREFIX,
     EVENT_END,
@@ -17,6 +18,7 @@
     CallHeader,
     EndRecord,
     EngineRequest,
+    EngineUsage,
     GenerateBody,
 )
 from chicorystack.errors import ApiError
@@ -34,8 +36,9 @@
         in_flight: Generations given to the engine and not finished.
     """
 
-    def __init__(self, target: TargetClient):
+    def __init__(self, target: TargetClient, usage: UsageTable):
         self._target = target
+        self._usage = usage
         self.in_flight = 0
 
     async def serve(self, request: server.Request, call: CallHeader) -> None:
@@ -48,22 +51,25 @@
         )
 
         def start(reader: StreamReader) -> None:
+            # Where the answer breaks off, the bound is what gets billed.
+            run.tokens = call["reserved"]
             self._begin_answer(request, call)
             gone = request.notifyFinish()
             gone.addErrback(lambda _: reader.transport.abortConnection())
 
         self.in_flight += 1
         try:
-            usage = await self._target.generate(
-                engine_request, start, request.write
-            )
+            with self._usage.running(call) as run:
+                usage = await self._target.generate(
+                    engine_request, start, request.write
+                )
+                run.tokens = _tokens_of(usage) + call["cost_tokens"]
         except TargetFailedError as error:
             _break_off(request, error)
             return
         finally:
             self.in_flight -= 1
-        tokens = usage["prompt_tokens"] + usage["completion_tokens"]
-        end = EndRecord(outcome="done", tokens=tokens + call["cost_tokens"])
+        end = EndRecord(outcome="done", tokens=run.tokens)
         request.write(END_EVENT_PREFIX + encoder.encode(end) + EVENT_END)
         request.finish()
 
@@ -75,6 +81,10 @@
         request.setHeader(b"content-type", EVENT_STREAM.encode())
 
 
+def _tokens_of(usage: EngineUsage) -> int:
+    return usage["prompt_tokens"] + usage["completion_tokens"]
+
+
 def _break_off(request: server.Request, error: TargetFailedError) -> None:
     """Ends an answer so that it can't be taken for a whole one."""
     if request.startedWriting:
--- a/chicorystack/agent/main.py
+++ b/chicorystack/agent/main.py
@@ -5,10 +5,13 @@
 from twisted.internet import defer, reactor, task
 
 from chicorystack import defaults
+from chicorystack.agent.closures import AgentRegistration, EpochGate
 from chicorystack.agent.gate import Gate
 from chicorystack.agent.generations import Generations
 from chicorystack.agent.service_calls import ServiceCalls
 from chicorystack.agent.target_client import TargetClient
+from chicorystack.agent.usage_table import UsageTable
+from chicorystack.budget.closures import SettleQuery
 from chicorystack.calls.messages import Empty, EngineLoad
 from chicorystack.calls.run_table import RunTable
 from chicorystack.config.messages import CONFIG_STREAM
@@ -46,22 +49,30 @@
         )
         target = TargetClient(make_http_agent(reactor), settings.target_url)
         authorize = fleet_authorizer(settings.fleet_token)
+        usage = UsageTable(reactor)
+        epochs = EpochGate(usage)
+        self._registration = AgentRegistration(
+            reactor, log_client, settings.name, epochs
+        )
         self._gate = Gate(
             settings,
             self._store,
-            Generations(target),
-            ServiceCalls(target, RunTable(reactor)),
+            Generations(target, usage),
+            ServiceCalls(target, RunTable(reactor), usage),
+            epochs,
             authorize,
         )
         self._load_loop = task.LoopingCall(self._poll_target_load)
         root = Tree()
         root.put("run", self._gate)
         root.put("load", JsonEndpoint(Empty, self._gate.load, authorize))
+        root.put("settle", JsonEndpoint(SettleQuery, epochs.settle, authorize))
         self._port = listen(reactor, root, settings.address, settings.port)
 
     def start(self) -> None:
         """Begins to follow the configuration and the target's load."""
         self._config_follower.start()
+        self._registration.start()
         self._load_loop.start(defaults.LOAD_REPORT_INTERVAL_S)
         log.info("guards target {}", self._settings.name)
 
--- a/chicorystack/agent/service_calls.py
+++ b/chicorystack/agent/service_calls.py
@@ -5,6 +5,7 @@
 
 from chicorystack.agent.answers import send_answer
 from chicorystack.agent.target_client import TargetClient, TargetFailedError
+from chicorystack.agent.usage_table import UsageTable
 from chicorystack.calls.messages import CallHeader
 from chicorystack.calls.run_table import KeptAnswer, RunTable
 from chicorystack.errors import ApiError
@@ -20,8 +21,9 @@
         in_flight: Calls given to the service and not finished.
     """
 
-    def __init__(self, target: TargetClient, runs: RunTable):
+    def __init__(self, target: TargetClient, runs: RunTable, usage: UsageTable):
         self._target = target
+        self._usage = usage
         self._runs = runs
         self.in_flight = 0
 
@@ -60,9 +62,11 @@
         request.content.seek(0)
         self.in_flight += 1
         try:
-            status, body = await self._target.call(
-                call["operation"], request.content.read(), call["key"]
-            )
+            with self._usage.running(call) as run:
+                status, body = await self._target.call(
+                    call["operation"], request.content.read(), call["key"]
+                )
+                run.tokens = call["cost_tokens"]
         except TargetFailedError as error:
             raise ApiError("target_failed", str(error)) from error
         finally:
--- a/chicorystack/budget/client.py
+++ b/chicorystack/budget/client.py
@@ -1,5 +1,6 @@
 """The router's side of budgets: reserves tokens and reports usage."""
 
+import contextlib
 from collections.abc import Callable, Iterable
 from urllib.parse import urlencode
 
@@ -11,6 +12,8 @@
     CustomerReply,
     Exchange,
     ExchangeReply,
+    HolderQuery,
+    HolderReply,
 )
 from chicorystack.budget.wallet import Reservation, ShardWallet
 from chicorystack.errors import ApiError, ChicoryError
@@ -100,8 +103,9 @@
         wallet_by_shard: The wallets.
     """
 
-    def __init__(self, reactor, locator: KeeperLocator):
+    def __init__(self, reactor, locator: KeeperLocator, router: str):
         self._reactor = reactor
+        self._router = router
         self._locator = locator
         self._waiters_by_shard: dict[int, list[defer.Deferred]] = {}
         self._exchanging: dict[int, Exchange] = {}
@@ -122,7 +126,9 @@
     def wallet(self, shard: int) -> ShardWallet:
         """Returns the wallet of a shard, made on first use."""
         if shard not in self.wallet_by_shard:
-            self.wallet_by_shard[shard] = ShardWallet(shard, self.holder)
+            self.wallet_by_shard[shard] = ShardWallet(
+                shard, self.holder, self._router
+            )
         return self.wallet_by_shard[shard]
 
     async def reserve(
@@ -152,16 +158,7 @@
     async def _await_exchange(
         self, wallet: ShardWallet, budget: str, tokens: int, deadline: float
     ) -> None:
-        waiter: defer.Deferred = defer.Deferred()
-        self._waiters_by_shard.setdefault(wallet.shard, []).append(waiter)
-        self._start_exchange(wallet)
-        waiter.addTimeout(
-            max(0.0, deadline - self._reactor.seconds()), self._reactor
-        )
-        try:
-            reply = await waiter
-        except defer.TimeoutError as error:
-            raise _unreachable() from error
+        reply = await self._await_any_exchange(wallet, deadline)
         if reply is None or budget not in reply["remaining"]:
             return
         granted = reply["granted"].get(budget, 0)
@@ -172,6 +169,21 @@
                 retry_after_ms=defaults.BUDGET_RETRY_AFTER_MS,
             )
 
+    async def _await_any_exchange(
+        self, wallet: ShardWallet, deadline: float
+    ) -> ExchangeReply | None:
+        """Waits for the exchange in course, or begins one."""
+        waiter: defer.Deferred = defer.Deferred()
+        self._waiters_by_shard.setdefault(wallet.shard, []).append(waiter)
+        self._start_exchange(wallet)
+        waiter.addTimeout(
+            max(0.0, deadline - self._reactor.seconds()), self._reactor
+        )
+        try:
+            return await waiter
+        except defer.TimeoutError as error:
+            raise _unreachable() from error
+
     def _exchange_all(self) -> None:
         for wallet in self.wallet_by_shard.values():
             if wallet.has_news:
@@ -203,8 +215,44 @@
         for waiter in self._waiters_by_shard.pop(wallet.shard, []):
             if not waiter.called:
                 waiter.callback(reply)
-        if wallet.has_news and reply is not None and not reply["accepted"]:
+        if reply is not None and wallet.should_go_on(reply):
+            self._start_exchange(wallet)
+
+    async def handle_holder(self, query: HolderQuery) -> HolderReply:
+        """Learns a keeper's epoch, registers there, and says who this is."""
+        wallet = self.wallet_by_shard.get(query["shard"])
+        if wallet is None:
+            return HolderReply(holder="")
+        wallet.learn_epoch(query["epoch"])
+        if wallet.has_news:
             self._start_exchange(wallet)
+        return HolderReply(holder=wallet.holder)
+
+    async def restate(
+        self, reservation: Reservation, deadline: float
+    ) -> Reservation:
+        """Brings a reservation whose epoch is closed into the present one.
+
+        Raises:
+            ApiError: `budget_unreachable` where no keeper accepts it in time.
+        """
+        wallet = self.wallet(reservation.shard)
+        while not wallet.is_void(reservation):
+            if wallet.epoch > reservation.epoch:
+                return reservation._replace(epoch=wallet.epoch)
+            if self._reactor.seconds() >= deadline:
+                break
+            await self._await_any_exchange(wallet, deadline)
+        raise _unreachable()
+
+    async def hand_back(self) -> None:
+        """Gives all free tokens back and reports all usage, where it can."""
+        give_up_at = self._reactor.seconds() + defaults.HAND_BACK_S
+        for wallet in self.wallet_by_shard.values():
+            wallet.give_back()
+            while wallet.has_news and self._reactor.seconds() < give_up_at:
+                with contextlib.suppress(ApiError):
+                    await self._await_any_exchange(wallet, give_up_at)
 
     async def customer(self, shard: int, name: str) -> CustomerReply:
         """Returns what tells a customer's secret key.
--- a/chicorystack/budget/keeper.py
+++ b/chicorystack/budget/keeper.py
@@ -8,6 +8,8 @@
 """
 
 from collections import defaultdict
+from collections.abc import Iterable, Iterator
+from typing import NamedTuple
 
 from chicorystack.budget.ledger import ShardLedger
 from chicorystack.budget.messages import (
@@ -20,6 +22,20 @@
 from chicorystack.observe.invariants import require
 
 
+class Demand(NamedTuple):
+    """A holder's wish for tokens of a budget.
+
+    Attributes:
+        holder: The holder.
+        budget: Budget's id.
+        wanted: Least number of tokens that helps.
+    """
+
+    holder: str
+    budget: str
+    wanted: int
+
+
 class ShardKeeper:
     """One router's keeper duty for one shard in one epoch.
 
@@ -31,6 +47,8 @@
             still be spent by someone.
         number_by_holder: Number of each holder's newest exchange; a holder
             is registered in this epoch once it is here.
+        giving_up: Holders that are being given up; the log may not say so
+            yet.
     """
 
     def __init__(self, ledger: ShardLedger, epoch: int, policy: SharingPolicy):
@@ -41,11 +59,12 @@
             dict
         )
         self.unsettled_by_budget: dict[str, int] = {
-            budget: state.committed - state.billed
+            budget: state.outstanding
             for budget, state in ledger.budget_by_id.items()
-            if state.committed > state.billed
+            if state.outstanding
         }
         self.number_by_holder: dict[str, int] = {}
+        self.giving_up: set[str] = set()
         ledger.on_bill(self._deduct_bill)
 
     @property
@@ -58,7 +77,7 @@
         state = self.ledger.budget(budget)
         held = sum(self.held_by_budget[budget].values())
         unsettled = self.unsettled_by_budget.get(budget, 0)
-        return state.committed - state.billed - held - unsettled
+        return state.outstanding - held - unsettled
 
     def remaining(self, budget: str) -> int:
         """Returns tokens that nobody holds, committed or not."""
@@ -75,6 +94,11 @@
         free = self.free(budget)
         if free < wanted:
             return 0
+        require(
+            "holder_known_in_log",
+            holder in self.ledger.router_by_holder,
+            f"{budget}: {holder} is not in the log",
+        )
         size = self._policy.grant_size(self, holder, budget, wanted)
         tokens = max(wanted, min(free, size))
         held = self.held_by_budget[budget]
@@ -82,16 +106,65 @@
         self.check(budget)
         return tokens
 
-    def commit_target(self, holder: str, budget: str, wanted: int) -> int:
-        """Returns the bound to append so that `wanted` can be handed out.
+    def commitments(self, demands: Iterable[Demand]) -> dict[str, int]:
+        """Returns the bounds to append so that demands can be met.
 
-        It does not exceed the top-ups; where it equals the present bound the
-        budget can't pay.
+        None exceeds the top-ups; a budget that can't pay more is left out.
         """
-        state = self.ledger.budget(budget)
-        size = self._policy.grant_size(self, holder, budget, wanted)
-        lacking = max(0, max(wanted, size) - self.free(budget))
-        return min(state.topped_up, state.committed + lacking)
+        size_by_budget: defaultdict[str, int] = defaultdict(int)
+        for holder, budget, wanted in demands:
+            size = self._policy.grant_size(self, holder, budget, wanted)
+            size_by_budget[budget] += max(wanted, size)
+        return dict(self._raised_bounds(size_by_budget))
+
+    def _raised_bounds(
+        self, size_by_budget: dict[str, int]
+    ) -> Iterator[tuple[str, int]]:
+        for budget, size in size_by_budget.items():
+            state = self.ledger.budget(budget)
+            lacking = max(0, size - self.free(budget))
+            bound = min(state.topped_up, state.committed + lacking)
+            if bound > state.committed:
+                yield budget, bound
+
+    @property
+    def unsettled(self) -> int:
+        """Tokens of all budgets that are unsettled."""
+        return sum(self.unsettled_by_budget.values())
+
+    @property
+    def unregistered(self) -> list[str]:
+        """Holders that may hold tokens and have not stated them."""
+        return [
+            holder
+            for holder in self.ledger.router_by_holder
+            if holder not in self.number_by_holder
+        ]
+
+    def holds(self, holder: str) -> bool:
+        """Tells whether a registered holder holds any tokens."""
+        return any(held.get(holder) for held in self.held_by_budget.values())
+
+    def is_void(self, exchange: Exchange) -> bool:
+        """Tells whether a holder was given up and does not know it."""
+        holder = exchange["holder"]
+        if holder in self.number_by_holder:
+            return False
+        known = holder in self.ledger.router_by_holder
+        was_registered = exchange["registered_epoch"] > 0
+        return holder in self.giving_up or (was_registered and not known)
+
+    def end_settlement(self) -> None:
+        """Frees what is unsettled, once the log says that it is settled."""
+        require(
+            "settled_under_own_epoch",
+            self.in_force and self.ledger.settled_epoch == self.epoch - 1,
+            f"epoch {self.epoch}, settled {self.ledger.settled_epoch}",
+        )
+        self.unsettled_by_budget = {}
+        self.giving_up = set()
+        for budget in self.ledger.budget_by_id:
+            self.check(budget)
 
     def take_statement(self, exchange: Exchange) -> bool:
         """Takes over what a holder says that it holds.
@@ -172,8 +245,13 @@
             self._move_from_unsettled(bill.budget, bill.tokens)
         self.check(bill.budget)
 
-    def view(self, budget: str) -> BudgetView:
-        """Returns the budget as operators see it."""
+    def view(self, budget: str, reason: str = "") -> BudgetView:
+        """Returns the budget as operators see it.
+
+        Args:
+            budget: Budget's id.
+            reason: What the settlement of older epochs waits for.
+        """
         state = self.ledger.budget(budget)
         unsettled = self.unsettled_by_budget.get(budget, 0)
         view = BudgetView(
@@ -181,11 +259,17 @@
             topped_up=state.topped_up,
             billed=state.billed,
             held=sum(self.held_by_budget[budget].values()),
-            unsettled=unsettled,
+            unsettled=unsettled + state.stranded,
             free=self.remaining(budget),
         )
+        reasons = []
         if unsettled:
-            view["reason"] = "committed before the present keeper's epoch"
+            reasons.append(reason or "waits for the holders of older epochs")
+        if state.stranded:
+            stranded = self.ledger.stranded_reason
+            reasons.append(f"{state.stranded} stranded: {stranded}")
+        if reasons:
+            view["reason"] = "; ".join(reasons)
         return view
 
     def check(self, budget: str) -> None:
--- a/chicorystack/budget/keeper_service.py
+++ b/chicorystack/budget/keeper_service.py
@@ -1,234 +1,65 @@
-"""The keeper duty of a router: follows shards, claims them, answers holders."""
+"""All shards that a router keeps."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 
-from twisted.internet import defer
+from twisted.internet import defer, task
 
-from chicorystack.budget.keeper import ShardKeeper
-from chicorystack.budget.ledger import ShardLedger
+from chicorystack import defaults
+from chicorystack.budget.closures import SettleQuery, SettleReply
 from chicorystack.budget.messages import (
     BudgetsReply,
     CustomerQuery,
     CustomerReply,
     Exchange,
     ExchangeReply,
-    KeeperClaimed,
-    LedgerBatch,
-    Usage,
-    shard_stream,
+    HolderQuery,
+    HolderReply,
 )
-from chicorystack.budget.sharing import FractionSharing, SharingPolicy
+from chicorystack.budget.shard_duty import ClosureFollower, ShardDuty
+from chicorystack.budget.sharing import FractionSharing
 from chicorystack.errors import ApiError
 from chicorystack.observe.logs import part_logger
-from chicorystack.platform.log_client import LogClient, LogFollower
-from chicorystack.util import new_id, rendezvous_order
+from chicorystack.platform.log_client import AppendPacer, LogClient
+from chicorystack.platform.messages import Vm
+from chicorystack.util import rendezvous_order
+from chicorystack.web.client import JsonClient, UnreachableError
 
 log = part_logger("keeper")
 
 
-class ShardDuty:
-    """The keeper duty for one shard at this router.
+class ListedPeers:
+    """Routers and agents as the platform's VM list has them."""
 
-    Attributes:
-        ledger: The shard's state.
-        keeper: The decisions of this epoch; None while another is keeper.
-    """
-
-    def __init__(
-        self,
-        reactor,
-        log_client: LogClient,
-        shard: int,
-        router: str,
-        url: str,
-        policy: SharingPolicy,
-    ):
-        self._log_client = log_client
-        self._router = router
-        self._url = url
-        self._policy = policy
-        self._stream = shard_stream(shard)
-        self._follower = LogFollower(
-            reactor, log_client, self._stream, self._deliver
-        )
-        self._claiming = False
-        self._pending_committed: dict[str, int] = {}
-        self._pending_bills: dict[str, Usage] = {}
-        self._flushing: defer.Deferred | None = None
-        self.ledger = ShardLedger(shard)
-        self.keeper: ShardKeeper | None = None
-        self._follower.start()
-
-    def stop(self) -> None:
-        """Gives the duty up."""
-        self._follower.stop()
-        self.keeper = None
-
-    async def claim(self) -> None:
-        """Claims the shard where no claim of this process is in force."""
-        if self._claiming or self.keeper or not self._follower.caught_up:
-            return
-        self._claiming = True
-        try:
-            await self._append_claim()
-        finally:
-            self._claiming = False
+    def __init__(self, client: JsonClient, vms: Callable[[], dict[str, Vm]]):
+        self._client = client
+        self._vms = vms
 
-    async def exchange(self, message: Exchange) -> ExchangeReply:
-        """Answers a holder, once its bills and commitments are in the log.
+    def listed(self, name: str) -> bool:
+        """Tells whether the platform lists a VM; no list tells nothing."""
+        vm_by_name = self._vms()
+        return not vm_by_name or name in vm_by_name
 
-        Raises:
-            ApiError: `not_keeper` where this router does not keep the shard.
-        """
-        keeper = self._require_keeper()
-        if message["epoch"] != keeper.epoch:
-            return _reply(keeper, accepted=False)
-        if not keeper.take_statement(message):
-            raise ApiError("conflict", "a later exchange has been seen")
-        await self._commit(keeper, message)
-        granted = self._grant(keeper, message)
-        return _reply(
-            keeper,
-            accepted=True,
-            granted=granted,
-            refunded=keeper.refunds(message["usage"]),
-            remaining={
-                budget: keeper.remaining(budget) for budget in message["wanted"]
-            },
-        )
+    async def ask_agent(
+        self, target: str, query: SettleQuery
+    ) -> SettleReply | None:
+        """Asks a target's agent; None where no answer came."""
+        return await self._post(target, "settle", query, SettleReply)
 
-    def _grant(self, keeper: ShardKeeper, message: Exchange) -> dict[str, int]:
-        if not keeper.is_newest(message):
-            # The holder no longer waits for this answer.
-            return {}
-        return {
-            budget: keeper.grant(message["holder"], budget, wanted)
-            for budget, wanted in message["wanted"].items()
-        }
+    async def tell_router(self, router: str, query: HolderQuery) -> str | None:
+        """Tells a router the epoch; returns the holder that it is now."""
+        reply = await self._post(router, "holder", query, HolderReply)
+        return None if reply is None else reply["holder"]
 
-    def customer(self, name: str) -> CustomerReply:
-        """Returns what tells a customer's secret key.
-
-        Raises:
-            ApiError: `not_keeper`, or `unauthorized` for an unknown customer.
-        """
-        self._require_keeper()
-        record = self.ledger.customer_by_name.get(name)
-        if record is None:
-            raise ApiError("unauthorized", "unknown customer or wrong key")
-        return CustomerReply(
-            customer=name,
-            key_salt=record["key_salt"],
-            key_hash=record["key_hash"],
-        )
-
-    def budgets(self, customer: str) -> BudgetsReply:
-        """Returns the budgets of a customer."""
-        keeper = self._require_keeper()
-        names = [
-            name
-            for name in self.ledger.budget_by_id
-            if name.startswith(f"{customer}/")
-        ]
-        return BudgetsReply(
-            customer=customer,
-            epoch=keeper.epoch,
-            budgets=[keeper.view(name) for name in names],
-        )
-
-    def _require_keeper(self) -> ShardKeeper:
-        if self.keeper is None or not self.keeper.in_force:
-            raise ApiError("not_keeper", "this router does not keep the shard")
-        return self.keeper
-
-    def _deliver(self, entry) -> None:
-        self.ledger.apply(entry)
-        if self.keeper is not None and not self.keeper.in_force:
-            log.info("shard {} has a newer keeper", self.ledger.shard)
-            self.keeper = None
-
-    async def _append_claim(self) -> None:
-        record = KeeperClaimed(
-            kind="keeper_claimed",
-            id=new_id(),
-            epoch=self.ledger.epoch + 1,
-            router=self._router,
-            url=self._url,
-        )
-        offset = await self._log_client.append_until_acknowledged(
-            self._stream, record
-        )
-        await self._follower.delivered_up_to(offset)
-        claim = self.ledger.claim
-        if claim is None or claim["id"] != record["id"]:
-            return
-        self.keeper = ShardKeeper(self.ledger, record["epoch"], self._policy)
-        log.info(
-            "keeps shard {} in epoch {}", self.ledger.shard, claim["epoch"]
-        )
-
-    async def _commit(self, keeper: ShardKeeper, message: Exchange) -> None:
-        """Appends the bills and commitments that a message calls for."""
-        for run in keeper.new_bills(message["usage"]):
-            self._pending_bills.setdefault(run.key, run)
-        for budget, wanted in message["wanted"].items():
-            if keeper.free(budget) >= wanted:
-                continue
-            bound = keeper.commit_target(message["holder"], budget, wanted)
-            if bound > self.ledger.budget(budget).committed:
-                pending = self._pending_committed.get(budget, 0)
-                self._pending_committed[budget] = max(bound, pending)
-        while self._pending_bills or self._pending_committed or self._flushing:
-            await self._flush(keeper)
-        self._require_keeper()
-
-    async def _flush(self, keeper: ShardKeeper) -> None:
-        """Appends all that is pending; one append at a time."""
-        if self._flushing is not None:
-            waiting: defer.Deferred = defer.Deferred()
-            self._flushing.addBoth(_fire_later, waiting)
-            await waiting
-            return
-        self._flushing = defer.Deferred()
-        committed, self._pending_committed = self._pending_committed, {}
-        bills, self._pending_bills = self._pending_bills, {}
-        record = LedgerBatch(
-            kind="ledger_batch",
-            id=new_id(),
-            epoch=keeper.epoch,
-            committed=committed,
-            bills=list(bills.values()),
-        )
+    async def _post(self, name: str, path: str, message, reply_type):
+        vm = self._vms().get(name)
+        if vm is None:
+            return None
+        url = f"http://{vm['address']}:{vm['port']}/{path}"
         try:
-            offset = await self._log_client.append_until_acknowledged(
-                self._stream, record
-            )
-            await self._follower.delivered_up_to(offset)
-        finally:
-            done, self._flushing = self._flushing, None
-            done.callback(None)
-
-
-def _fire_later(result, waiting: defer.Deferred):
-    if not waiting.called:
-        waiting.callback(None)
-    return result
-
-
-def _reply(
-    keeper: ShardKeeper,
-    accepted: bool,
-    granted: dict[str, int] | None = None,
-    refunded: list[str] | None = None,
-    remaining: dict[str, int] | None = None,
-) -> ExchangeReply:
-    return ExchangeReply(
-        epoch=keeper.epoch,
-        accepted=accepted,
-        granted=granted or {},
-        refunded=refunded or [],
-        remaining=remaining or {},
-    )
+            return await self._client.post(url, message, reply_type)
+        except (UnreachableError, ApiError) as error:
+            log.info("{} does not answer: {}", name, error)
+            return None
 
 
 class KeeperService:
@@ -242,45 +73,63 @@
         self,
         reactor,
         log_client: LogClient,
+        client: JsonClient,
         router: str,
         url: str,
-        live_routers: Callable[[], Iterable[str]],
+        live_routers: Callable[[], dict[str, str]],
+        vms: Callable[[], dict[str, Vm]],
     ):
         self._reactor = reactor
         self._log_client = log_client
         self._router = router
         self._url = url
         self._live_routers = live_routers
+        self._pacer = AppendPacer(reactor, lambda: len(live_routers()))
+        self._peers = ListedPeers(client, vms)
         self._policy = FractionSharing()
+        self._closures = ClosureFollower(reactor, log_client)
+        self._settle_loop = task.LoopingCall(self._settle_all)
+        self._settle_loop.clock = reactor
         self.duty_by_shard: dict[int, ShardDuty] = {}
 
+    def start(self) -> None:
+        """Begins to follow the closures and to settle."""
+        self._closures.follower.start()
+        self._settle_loop.start(defaults.SETTLE_INTERVAL_S, now=False)
+
     def review(self, shard_count: int) -> None:
-        """Takes up the shards that fall to this router and drops others."""
-        routers = list(self._live_routers())
+        """Takes up the shards that fall to this router."""
+        routers = self._live_routers()
         for shard in range(shard_count):
             order = rendezvous_order(f"shard-{shard}", routers)
-            mine = bool(order) and order[0] == self._router
-            self._review_shard(shard, mine)
+            if order and order[0] == self._router:
+                self._take_up(shard)
 
-    def _review_shard(self, shard: int, mine: bool) -> None:
-        duty = self.duty_by_shard.get(shard)
-        if not mine:
-            return
-        if duty is None:
-            duty = ShardDuty(
+    def _take_up(self, shard: int) -> None:
+        if shard not in self.duty_by_shard:
+            self.duty_by_shard[shard] = ShardDuty(
                 self._reactor,
                 self._log_client,
+                self._pacer,
+                self._closures,
+                self._peers,
                 shard,
                 self._router,
                 self._url,
                 self._policy,
             )
-            self.duty_by_shard[shard] = duty
-        claiming = defer.ensureDeferred(duty.claim())
+        claiming = defer.ensureDeferred(self.duty_by_shard[shard].claim())
         claiming.addErrback(_log_failure, shard)
 
+    def _settle_all(self) -> None:
+        for shard, duty in self.duty_by_shard.items():
+            settling = defer.ensureDeferred(duty.settle())
+            settling.addErrback(_log_failure, shard)
+
     def stop(self) -> None:
         """Gives up all duties."""
+        if self._settle_loop.running:
+            self._settle_loop.stop()
         for duty in self.duty_by_shard.values():
             duty.stop()
         self.duty_by_shard = {}
@@ -291,7 +140,7 @@
 
     async def handle_customer(self, query: CustomerQuery) -> CustomerReply:
         """Returns a customer of a shard that this router keeps."""
-        return self._duty(query["shard"]).customer(query["customer"])
+        return await self._duty(query["shard"]).customer(query["customer"])
 
     async def handle_budgets(self, query: CustomerQuery) -> BudgetsReply:
         """Returns a customer's budgets."""
@@ -307,4 +156,4 @@
 def _log_failure(failure, shard: int) -> None:
     if failure.check(defer.CancelledError):
         return
-    log.error("shard {} could not be claimed: {}", shard, failure.value)
+    log.error("duty for shard {} failed: {}", shard, failure.value)
--- a/chicorystack/budget/ledger.py
+++ b/chicorystack/budget/ledger.py
@@ -6,6 +6,7 @@
 from chicorystack import defaults
 from chicorystack.budget.messages import (
     CustomerCreated,
+    EpochSettled,
     KeeperClaimed,
     LedgerBatch,
     ToppedUp,
@@ -24,18 +25,25 @@
         topped_up: Sum of the top-ups.
         committed: Upper bound on tokens billed or held by anyone.
         billed: Sum of the bills.
+        stranded: Tokens that could not be settled and stay counted as spent.
     """
 
     topped_up: int = 0
     committed: int = 0
     billed: int = 0
+    stranded: int = 0
+
+    @property
+    def outstanding(self) -> int:
+        """Tokens committed that are neither billed nor stranded."""
+        return self.committed - self.billed - self.stranded
 
 
 class BillMark(NamedTuple):
     """What is remembered of a bill.
 
     Attributes:
-        time: Log time of the bill, in seconds since 1970.
+        time: Position of the bill in the window, in seconds.
         use: Id of the run that was billed.
     """
 
@@ -53,6 +61,12 @@
         customer_by_name: Customers by name.
         bill_by_key: Bills by the hash of the call's key, in the order of the
             log; only those within the window.
+        router_by_holder: VM names of those who may hold tokens.
+        void_holders: Those given up and not yet settled.
+        settled_epoch: Newest epoch whose holders are settled.
+        closures_offset_by_epoch: Up to where the keepers of the epochs since
+            then had read the stream of closures.
+        stranded_reason: Why tokens are stranded, as last recorded.
     """
 
     def __init__(self, shard: int):
@@ -62,20 +76,30 @@
         self.budget_by_id: dict[str, BudgetState] = {}
         self.customer_by_name: dict[str, CustomerCreated] = {}
         self.bill_by_key: dict[str, BillMark] = {}
-        self._top_up_ids: set[str] = set()
+        self.router_by_holder: dict[str, str] = {}
+        self.void_holders: list[str] = []
+        self.settled_epoch = 0
+        self.closures_offset_by_epoch: dict[int, int] = {}
+        self.stranded_reason = ""
+        self._last_number = 0
+        self._window_time = 0.0
+        self._last_time = 0.0
+        self._operator_record_ids: set[str] = set()
         self._bill_listener: Callable[[Usage], None] | None = None
         self._apply_by_kind = {
             "customer_created": self._apply_customer,
             "topped_up": self._apply_top_up,
             "keeper_claimed": self._apply_claim,
             "ledger_batch": self._apply_batch,
+            "epoch_settled": self._apply_settled,
         }
 
     def apply(self, entry: LogEntry) -> None:
         """Takes the next entry of the stream."""
         record = decode_record(entry["record"])
-        self._forget_old_bills(entry["time"])
-        self._apply_by_kind[record["kind"]](record, entry["time"])
+        self._advance_window(entry["time"])
+        self._forget_old_bills()
+        self._apply_by_kind[record["kind"]](record)
 
     def on_bill(self, listener: Callable[[Usage], None] | None) -> None:
         """Calls listener once for each bill from now on."""
@@ -85,37 +109,104 @@
         """Returns a budget's state; an unknown one is empty."""
         return self.budget_by_id.get(budget, BudgetState())
 
-    def _apply_customer(self, record: CustomerCreated, _time: float) -> None:
+    @property
+    def settling_since(self) -> int:
+        """Offset in the stream of closures since which memory is needed."""
+        return min(self.closures_offset_by_epoch.values(), default=0)
+
+    def is_superseded(self, holder: str) -> bool:
+        """Tells whether a holder's router has become another holder."""
+        router = self.router_by_holder[holder]
+        newest = [
+            other
+            for other, name in self.router_by_holder.items()
+            if name == router
+        ][-1]
+        return newest != holder
+
+    def _is_repeated(self, record: CustomerCreated | ToppedUp) -> bool:
+        """Tells whether an operator's record has been seen before."""
+        if record["id"] in self._operator_record_ids:
+            return True
+        self._operator_record_ids.add(record["id"])
+        return False
+
+    def _apply_customer(self, record: CustomerCreated) -> None:
+        if self._is_repeated(record):
+            return
         self.customer_by_name[record["customer"]] = record
 
-    def _apply_top_up(self, record: ToppedUp, _time: float) -> None:
-        if record["id"] in self._top_up_ids:
+    def _apply_top_up(self, record: ToppedUp) -> None:
+        if self._is_repeated(record):
             return
-        self._top_up_ids.add(record["id"])
         budget = budget_id(record["customer"], record["budget"])
         state = self.budget(budget)
         topped_up = state.topped_up + record["tokens"]
         self.budget_by_id[budget] = state._replace(topped_up=topped_up)
 
-    def _apply_claim(self, record: KeeperClaimed, _time: float) -> None:
+    def _apply_claim(self, record: KeeperClaimed) -> None:
         if record["epoch"] != self.epoch + 1:
             return
         self.epoch = record["epoch"]
         self.claim = record
+        self._last_number = 0
+        offset = record.get("closures_offset", 0)
+        self.closures_offset_by_epoch[self.epoch] = offset
 
-    def _apply_batch(self, record: LedgerBatch, time: float) -> None:
+    def _is_void(self, record: LedgerBatch | EpochSettled) -> bool:
+        """Tells whether a keeper's record is of an old epoch or repeated."""
         if record["epoch"] != self.epoch:
+            return True
+        if record["number"] <= self._last_number:
+            return True
+        self._last_number = record["number"]
+        return False
+
+    def _apply_batch(self, record: LedgerBatch) -> None:
+        if self._is_void(record):
             return
+        self.router_by_holder |= record.get("router_by_holder", {})
+        for holder in record.get("void_holders", []):
+            if self.router_by_holder.pop(holder, None) is not None:
+                self.void_holders.append(holder)
         for budget, committed in record["committed"].items():
             state = self.budget(budget)
+            require(
+                "committed_never_falls",
+                state.committed <= committed <= state.topped_up,
+                f"{budget}: {committed} after {state}",
+            )
             self.budget_by_id[budget] = state._replace(committed=committed)
         for bill in record["bills"]:
-            self._apply_bill(bill, time)
+            self._apply_bill(bill)
+
+    def _apply_settled(self, record: EpochSettled) -> None:
+        if self._is_void(record):
+            return
+        self.settled_epoch = record["closed"]
+        # One epoch more is kept: a run that its router had not reported when
+        # it registered may have begun there.
+        self.closures_offset_by_epoch = {
+            epoch: offset
+            for epoch, offset in self.closures_offset_by_epoch.items()
+            if epoch >= self.settled_epoch
+        }
+        self.void_holders = [
+            holder
+            for holder in self.void_holders
+            if holder not in record["holders"]
+        ]
+        for budget, tokens in record["stranded"].items():
+            state = self.budget(budget)
+            self.budget_by_id[budget] = state._replace(
+                stranded=state.stranded + tokens
+            )
+        self.stranded_reason = record["reason"] or self.stranded_reason
 
-    def _apply_bill(self, bill: Usage, time: float) -> None:
+    def _apply_bill(self, bill: Usage) -> None:
         if bill.key in self.bill_by_key:
             return
-        self.bill_by_key[bill.key] = BillMark(time, bill.use)
+        self.bill_by_key[bill.key] = BillMark(self._window_time, bill.use)
         state = self.budget(bill.budget)
         billed = state.billed + bill.tokens
         require(
@@ -127,9 +218,21 @@
         if self._bill_listener is not None:
             self._bill_listener(bill)
 
-    def _forget_old_bills(self, now: float) -> None:
+    def _advance_window(self, time: float) -> None:
+        """Lets the window of bills move on with the log's clock.
+
+        An outage does not age the bills: those who report again when it ends
+        must still find theirs.
+        """
+        if self._last_time:
+            passed = max(0.0, time - self._last_time)
+            self._window_time += min(passed, defaults.BILL_WINDOW_MAX_STEP_S)
+        self._last_time = max(self._last_time, time)
+
+    def _forget_old_bills(self) -> None:
+        oldest = self._window_time - defaults.BILL_WINDOW_S
         while self.bill_by_key:
             key = next(iter(self.bill_by_key))
-            if self.bill_by_key[key].time > now - defaults.KEY_WINDOW_S:
+            if self.bill_by_key[key].time > oldest:
                 return
             del self.bill_by_key[key]
--- a/chicorystack/budget/messages.py
+++ b/chicorystack/budget/messages.py
@@ -55,6 +55,8 @@
         epoch: The epoch in force plus one.
         router: Name of the claiming router's VM.
         url: Base URL of its control port.
+        closures_offset: Up to where the claimer had read the stream of
+            closures.
     """
 
     kind: Literal["keeper_claimed"]
@@ -62,6 +64,7 @@
     epoch: int
     router: str
     url: str
+    closures_offset: NotRequired[int]
 
 
 class Usage(NamedTuple):
@@ -86,6 +89,11 @@
     return use.partition(":")[0]
 
 
+def number_of_use(use: str) -> int:
+    """Returns the number of a run among those of its holder and shard."""
+    return int(use.partition(":")[2])
+
+
 class LedgerBatch(TypedDict):
     """What a keeper commits in one append; void under an old epoch.
 
@@ -93,16 +101,49 @@
         kind: Always `ledger_batch`.
         id: The record's own id.
         epoch: Epoch of the keeper.
+        number: Rises with each record of this epoch; a copy that the log
+            service takes late has an old number and is void.
         committed: New upper bounds, by budget id, on the tokens that are
             billed or may be held by anyone.
         bills: Calls billed.
+        router_by_holder: Holders that may be given tokens from now on, with
+            the name of their VM.
+        void_holders: Holders that may hold tokens no more; agents account
+            for what they used.
     """
 
     kind: Literal["ledger_batch"]
     id: str
     epoch: int
+    number: int
     committed: dict[str, int]
     bills: list[Usage]
+    router_by_holder: NotRequired[dict[str, str]]
+    void_holders: NotRequired[list[str]]
+
+
+class EpochSettled(TypedDict):
+    """Ends the settlement of closed epochs; void under an old epoch.
+
+    Attributes:
+        kind: Always `epoch_settled`.
+        id: The record's own id.
+        epoch: Epoch of the keeper.
+        number: As in LedgerBatch.
+        closed: Newest epoch that is settled.
+        holders: Void holders that are settled.
+        stranded: Tokens by budget that stay counted as spent.
+        reason: Why tokens are stranded; empty where none are.
+    """
+
+    kind: Literal["epoch_settled"]
+    id: str
+    epoch: int
+    number: int
+    closed: int
+    holders: list[str]
+    stranded: dict[str, int]
+    reason: str
 
 
 class RecordHead(TypedDict):
@@ -117,9 +158,12 @@
     "topped_up": ToppedUp,
     "keeper_claimed": KeeperClaimed,
     "ledger_batch": LedgerBatch,
+    "epoch_settled": EpochSettled,
 }
 
-ShardRecord = CustomerCreated | ToppedUp | KeeperClaimed | LedgerBatch
+ShardRecord = (
+    CustomerCreated | ToppedUp | KeeperClaimed | LedgerBatch | EpochSettled
+)
 
 
 def decode_record(raw: str) -> ShardRecord:
@@ -134,9 +178,12 @@
     Attributes:
         shard: The shard.
         holder: Incarnation id of the router's process.
+        router: Name of the router's VM.
         number: Rises with each exchange of this holder and shard; the keeper
             ignores an exchange that a later one has overtaken.
         epoch: Epoch of the keeper that the holder knows of.
+        registered_epoch: Epoch in which a keeper last accepted what the
+            holder holds; 0 for none.
         held: Tokens held by budget: free, reserved, and used but not yet
             acknowledged. Covers all budgets of the shard where the epoch is
             new to the holder, else those that have changed.
@@ -146,8 +193,10 @@
 
     shard: int
     holder: str
+    router: str
     number: int
     epoch: int
+    registered_epoch: int
     held: dict[str, int]
     usage: list[Usage]
     wanted: dict[str, int]
@@ -160,6 +209,8 @@
         epoch: Epoch of the keeper.
         accepted: False where the epoch was not the keeper's: the holder
             learns the epoch and states all that it holds.
+        void: True where the holder has been given up: it holds nothing any
+            more, and agents account for what it used.
         granted: Tokens handed out, by budget.
         refunded: Ids of the runs whose keys had been billed before; their
             tokens go back to the holder's wallet.
@@ -168,11 +219,34 @@
 
     epoch: int
     accepted: bool
+    void: bool
     granted: dict[str, int]
     refunded: list[str]
     remaining: dict[str, int]
 
 
+class HolderQuery(TypedDict):
+    """Tells a router of a shard's new epoch and asks who it is.
+
+    Attributes:
+        shard: The shard.
+        epoch: Epoch of the keeper, in which the holder should register.
+    """
+
+    shard: int
+    epoch: int
+
+
+class HolderReply(TypedDict):
+    """Who a router is.
+
+    Attributes:
+        holder: Id of the holder for the shard; empty where there is none.
+    """
+
+    holder: str
+
+
 class CustomerQuery(TypedDict):
     """Asks a keeper for a customer."""
 
--- /dev/null
+++ b/chicorystack/budget/shard_duty.py
@@ -0,0 +1,382 @@
+"""A router's duty for one shard: follows it, claims it, answers holders."""
+
+from collections.abc import Callable
+
+from twisted.internet import defer, task
+
+from chicorystack import defaults
+from chicorystack.budget.closures import CLOSURES_STREAM, ClosureLedger
+from chicorystack.budget.keeper import ShardKeeper
+from chicorystack.budget.ledger import ShardLedger
+from chicorystack.budget.messages import (
+    BudgetsReply,
+    CustomerReply,
+    Exchange,
+    ExchangeReply,
+    KeeperClaimed,
+    shard_stream,
+)
+from chicorystack.budget.settlement import EpochSettlement, Peers
+from chicorystack.budget.shard_writer import ShardWriter
+from chicorystack.budget.sharing import SharingPolicy
+from chicorystack.errors import ApiError
+from chicorystack.observe.logs import part_logger
+from chicorystack.platform.log_client import (
+    AppendPacer,
+    LogClient,
+    LogFollower,
+)
+from chicorystack.util import new_id
+from chicorystack.web.client import UnreachableError
+
+log = part_logger("keeper")
+
+
+class ClosureFollower:
+    """The stream of closures, which all shards of a router share.
+
+    Attributes:
+        ledger: Its contents.
+        follower: Its reader.
+    """
+
+    def __init__(self, reactor, log_client: LogClient):
+        self.ledger = ClosureLedger()
+        self.follower = LogFollower(
+            reactor, log_client, CLOSURES_STREAM, self.ledger.apply
+        )
+
+
+class ShardJournal:
+    """Appends to a shard's stream or the closures and reads back.
+
+    Attributes:
+        follower: Reader of the shard's stream.
+    """
+
+    def __init__(
+        self,
+        log_client: LogClient,
+        pacer: AppendPacer,
+        follower: LogFollower,
+        closures: LogFollower,
+    ):
+        self._log_client = log_client
+        self._pacer = pacer
+        self._closures = closures
+        self.follower = follower
+
+    async def append_and_read(
+        self, stream: str, make_record: Callable[[], object]
+    ) -> None:
+        """Appends a record when its turn comes and waits to read it."""
+        await self._pacer.turn()
+        offset = await self._log_client.append_until_acknowledged(
+            stream, make_record()
+        )
+        is_closure = stream == CLOSURES_STREAM
+        follower = self._closures if is_closure else self.follower
+        await follower.delivered_up_to(offset)
+
+
+class ShardDuty:
+    """The keeper duty for one shard at this router.
+
+    Attributes:
+        ledger: The shard's state.
+        keeper: The decisions of this epoch; None while another is keeper.
+    """
+
+    def __init__(
+        self,
+        reactor,
+        log_client: LogClient,
+        pacer: AppendPacer,
+        closures: ClosureFollower,
+        peers: Peers,
+        shard: int,
+        router: str,
+        url: str,
+        policy: SharingPolicy,
+    ):
+        self._clock = reactor
+        self._router = router
+        self._url = url
+        self._policy = policy
+        self._closures = closures
+        self._peers = peers
+        self._stream = shard_stream(shard)
+        self._follower = LogFollower(
+            reactor, log_client, self._stream, self._deliver
+        )
+        self._journal = ShardJournal(
+            log_client, pacer, self._follower, closures.follower
+        )
+        self._refresher = Refresher(reactor, log_client, self._follower)
+        self._writer: ShardWriter | None = None
+        self._settlement: EpochSettlement | None = None
+        self._settling = False
+        self._claiming = False
+        self._claim_at = 0.0
+        self._claims_lost = 0
+        self.ledger = ShardLedger(shard)
+        self.keeper: ShardKeeper | None = None
+        self._follower.start()
+
+    def stop(self) -> None:
+        """Gives the duty up."""
+        self._follower.stop()
+        self.keeper = None
+
+    async def claim(self) -> None:
+        """Claims the shard where no claim of this process is in force."""
+        if self.keeper or self._clock.seconds() < self._claim_at:
+            return
+        await self._claim()
+
+    async def settle(self) -> None:
+        """Goes on settling older epochs; begins an epoch where that helps."""
+        if self.keeper is None or self._settling or self._claiming:
+            return
+        self._settling = True
+        try:
+            await self._settle(self.keeper)
+        except ApiError as error:
+            log.info("shard {}: {}", self.ledger.shard, error)
+        finally:
+            self._settling = False
+
+    async def _settle(self, keeper: ShardKeeper) -> None:
+        if self._settlement.needed:
+            await self._settlement.step()
+            return
+        if not self._holds_for_gone_routers(keeper):
+            return
+        if self._clock.seconds() >= self._claim_at:
+            await self._claim()
+
+    def _holds_for_gone_routers(self, keeper: ShardKeeper) -> bool:
+        return any(
+            keeper.holds(holder)
+            and (
+                not self._peers.listed(router)
+                or self.ledger.is_superseded(holder)
+            )
+            for holder, router in self.ledger.router_by_holder.items()
+        )
+
+    async def exchange(self, message: Exchange) -> ExchangeReply:
+        """Answers a holder, once its bills and commitments are in the log.
+
+        Raises:
+            ApiError: `not_keeper` where this router does not keep the shard.
+        """
+        keeper = self._require_keeper()
+        if message["epoch"] != keeper.epoch:
+            return _reply(keeper, accepted=False)
+        if keeper.is_void(message):
+            return _reply(keeper, accepted=False, void=True)
+        if not keeper.take_statement(message):
+            raise ApiError("conflict", "a later exchange has been seen")
+        if self._lacks_tokens(keeper, message):
+            await self._refresher.refresh()
+            self._require_same(keeper)
+        await self._writer.write(message)
+        self._require_same(keeper)
+        granted = self._grant(keeper, message)
+        return _reply(
+            keeper,
+            accepted=True,
+            granted=granted,
+            refunded=keeper.refunds(message["usage"]),
+            remaining={
+                budget: keeper.remaining(budget) for budget in message["wanted"]
+            },
+        )
+
+    def _lacks_tokens(self, keeper: ShardKeeper, message: Exchange) -> bool:
+        return any(
+            keeper.remaining(budget) < wanted
+            for budget, wanted in message["wanted"].items()
+        )
+
+    def _grant(self, keeper: ShardKeeper, message: Exchange) -> dict[str, int]:
+        if not keeper.is_newest(message):
+            # The holder no longer waits for this answer.
+            return {}
+        return {
+            budget: keeper.grant(message["holder"], budget, wanted)
+            for budget, wanted in message["wanted"].items()
+        }
+
+    async def customer(self, name: str) -> CustomerReply:
+        """Returns what tells a customer's secret key.
+
+        Raises:
+            ApiError: `not_keeper`, or `unauthorized` for an unknown customer.
+        """
+        self._require_keeper()
+        if name not in self.ledger.customer_by_name:
+            await self._refresher.refresh()
+        record = self.ledger.customer_by_name.get(name)
+        if record is None:
+            raise ApiError("unauthorized", "unknown customer or wrong key")
+        return CustomerReply(
+            customer=name,
+            key_salt=record["key_salt"],
+            key_hash=record["key_hash"],
+        )
+
+    def budgets(self, customer: str) -> BudgetsReply:
+        """Returns the budgets of a customer."""
+        keeper = self._require_keeper()
+        reason = self._settlement.waits_for
+        names = [
+            name
+            for name in self.ledger.budget_by_id
+            if name.startswith(f"{customer}/")
+        ]
+        return BudgetsReply(
+            customer=customer,
+            epoch=keeper.epoch,
+            budgets=[keeper.view(name, reason) for name in names],
+        )
+
+    def _require_keeper(self) -> ShardKeeper:
+        if self.keeper is None or not self.keeper.in_force:
+            raise ApiError("not_keeper", "this router does not keep the shard")
+        return self.keeper
+
+    def _require_same(self, keeper: ShardKeeper) -> None:
+        if self._require_keeper() is not keeper:
+            raise ApiError("not_keeper", "the shard's epoch has ended")
+
+    def _deliver(self, entry) -> None:
+        self.ledger.apply(entry)
+        if self.keeper is None or self.keeper.in_force:
+            return
+        self.keeper = None
+        self.ledger.on_bill(None)
+        if not self._claiming:
+            log.info("shard {} has a newer keeper", self.ledger.shard)
+            self._lose_claim()
+
+    def _lose_claim(self) -> None:
+        """Waits longer with each lost claim, so that keepers don't race."""
+        delay_s = min(
+            defaults.CLAIM_RETRY_INITIAL_S * 2**self._claims_lost,
+            defaults.CLAIM_RETRY_MAX_S,
+        )
+        self._claims_lost += 1
+        self._claim_at = self._clock.seconds() + delay_s
+
+    async def _claim(self) -> None:
+        ready = self._follower.caught_up and self._closures.follower.caught_up
+        if self._claiming or not ready:
+            return
+        self._claiming = True
+        try:
+            await self._append_claim()
+        finally:
+            self._claiming = False
+
+    async def _append_claim(self) -> None:
+        record = KeeperClaimed(
+            kind="keeper_claimed",
+            id=new_id(),
+            epoch=self.ledger.epoch + 1,
+            router=self._router,
+            url=self._url,
+            closures_offset=self._closures.follower.next_offset,
+        )
+        await self._journal.append_and_read(self._stream, lambda: record)
+        claim = self.ledger.claim
+        if claim is None or claim["id"] != record["id"]:
+            self._lose_claim()
+            return
+        self._take_up(record["epoch"])
+
+    def _take_up(self, epoch: int) -> None:
+        keeper = ShardKeeper(self.ledger, epoch, self._policy)
+        self.keeper = keeper
+        self._writer = ShardWriter(self._journal, keeper)
+        self._settlement = EpochSettlement(
+            self._clock,
+            keeper,
+            self._writer,
+            self._closures.ledger,
+            self._journal,
+            self._peers,
+        )
+        self._claims_lost = 0
+        self._claim_at = self._clock.seconds() + defaults.SETTLE_EPOCH_MIN_S
+        log.info("keeps shard {} in epoch {}", self.ledger.shard, epoch)
+
+
+class Refresher:
+    """Reads a stream to its end before something is refused.
+
+    Reads are shared by all who ask and at most one begins in a while.
+    """
+
+    def __init__(self, reactor, log_client: LogClient, follower: LogFollower):
+        self._reactor = reactor
+        self._log_client = log_client
+        self._follower = follower
+        self._may_read_at = 0.0
+        self._waiters: list[defer.Deferred[None]] = []
+
+    async def refresh(self) -> None:
+        """Returns once all that stood in the stream has been delivered.
+
+        Returns without that where the log does not answer in time.
+        """
+        waiter: defer.Deferred[None] = defer.Deferred()
+        self._waiters.append(waiter)
+        if len(self._waiters) == 1:
+            defer.ensureDeferred(self._run())
+        await waiter
+
+    async def _run(self) -> None:
+        delay_s = max(0.0, self._may_read_at - self._reactor.seconds())
+        await task.deferLater(self._reactor, delay_s)
+        self._may_read_at = self._reactor.seconds() + defaults.REFRESH_MIN_S
+        # Whoever asks from here on needs a newer read.
+        waiters, self._waiters = self._waiters, []
+        try:
+            await self._read_to_end()
+        finally:
+            for waiter in waiters:
+                if not waiter.called:
+                    waiter.callback(None)
+
+    async def _read_to_end(self) -> None:
+        try:
+            end_offset = await self._log_client.end_offset(
+                self._follower.stream
+            )
+        except (UnreachableError, ApiError) as error:
+            log.warning("can't read to the end of the log: {}", error)
+            return
+        delivered = self._follower.delivered_up_to(end_offset - 1)
+        delivered.addTimeout(defaults.CONTROL_TIMEOUT_S, self._reactor)
+        delivered.addErrback(lambda failure: failure.trap(defer.TimeoutError))
+        await delivered
+
+
+def _reply(
+    keeper: ShardKeeper,
+    accepted: bool,
+    void: bool = False,
+    granted: dict[str, int] | None = None,
+    refunded: list[str] | None = None,
+    remaining: dict[str, int] | None = None,
+) -> ExchangeReply:
+    return ExchangeReply(
+        epoch=keeper.epoch,
+        accepted=accepted,
+        void=void,
+        granted=granted or {},
+        refunded=refunded or [],
+        remaining=remaining or {},
+    )
--- a/chicorystack/calls/messages.py
+++ b/chicorystack/calls/messages.py
@@ -25,11 +25,14 @@
         service: Service to call.
         operation: Operation to call.
         customer: Customer who pays.
+        budget: Budget's id.
         key: Hash of customer and call key.
         repeatable: Whether running the call twice does no harm.
         shard: Shard of the budget.
         epoch: Epoch under which the tokens are held.
         use: Id of this run for billing.
+        settled_below: All runs of the same router and shard with a lower
+            number are settled with the keeper.
         reserved: Upper bound on the tokens of the call.
         cost_tokens: Tokens charged besides prompt and generated ones.
         max_tokens: Most tokens to generate; engines only.
@@ -42,11 +45,13 @@
     service: str
     operation: str
     customer: str
+    budget: str
     key: str
     repeatable: bool
     shard: int
     epoch: int
     use: str
+    settled_below: int
     reserved: int
     cost_tokens: int
     max_tokens: int
--- a/chicorystack/defaults.py
+++ b/chicorystack/defaults.py
@@ -24,6 +24,10 @@
 RETRY_AFTER_MS = 1_000
 KEY_WINDOW_S = 600.0
 
+# How long bills are remembered; longer than any process reports usage.
+BILL_WINDOW_S = 1_800.0
+BILL_WINDOW_MAX_STEP_S = 10.0
+
 # Platform.
 LOG_READ_WAIT_MS = 2_000
 LOG_READ_LIMIT = 500
@@ -42,6 +46,25 @@
 KEEPER_SEARCH_S = 2.0
 KEEPER_SEARCH_PAUSE_S = 0.1
 BUDGET_RETRY_AFTER_MS = 60_000
+# How long a stopping router tries to give its tokens back.
+HAND_BACK_S = 3.0
+# Least time between two reads to the end of a stream before a refusal.
+REFRESH_MIN_S = 0.25
+# Appends a second of all keepers together.
+KEEPER_APPENDS_PER_S = 200
+
+# Settlement of what gone routers held.
+SETTLE_INTERVAL_S = 1.0
+CLAIM_RETRY_INITIAL_S = 1.0
+CLAIM_RETRY_MAX_S = 60.0
+# Least time between two epochs that a keeper claims for settlement.
+SETTLE_EPOCH_MIN_S = 120.0
+# A holder that stays unreachable for so long is settled without it.
+HOLDER_LOST_S = 900.0
+AGENT_PRESENT_INTERVAL_S = 21_600.0
+# Usage older than this may have been billed and forgotten.
+USAGE_BILLABLE_S = 1_200.0
+USAGE_TABLE_MAX_ENTRIES = 20_000
 
 # Agents.
 LOAD_REPORT_INTERVAL_S = 0.5
--- a/chicorystack/platform/log_client.py
+++ b/chicorystack/platform/log_client.py
@@ -23,6 +23,8 @@
 from chicorystack.web.client import JsonClient, UnreachableError
 
 log = part_logger("log-client")
+# An offset that no stream reaches.
+END_OF_STREAM = 2**53
 
 
 class LogClient:
@@ -93,11 +95,45 @@
             f"{self._base_url}/read?{query}", ReadPage, timeout_s
         )
 
+    async def end_offset(self, stream: str) -> int:
+        """Returns the offset that the next append will get.
+
+        Raises:
+            UnreachableError: If no answer came.
+            ApiError: If the service refused.
+        """
+        page = await self.read(stream, END_OF_STREAM)
+        return page["end_offset"]
+
+
+class AppendPacer:
+    """Spaces a process' appends so that the fleet stays within its share.
+
+    Each of n routers begins an append every n / KEEPER_APPENDS_PER_S
+    seconds at most, so that all together append at most
+    KEEPER_APPENDS_PER_S times a second, however many they are.
+    """
+
+    def __init__(self, clock, router_count: Callable[[], int]):
+        self._clock = clock
+        self._router_count = router_count
+        self._next_at = 0.0
+
+    async def turn(self) -> None:
+        """Returns when the next append may begin."""
+        interval_s = self._router_count() / defaults.KEEPER_APPENDS_PER_S
+        turn_at = max(self._clock.seconds(), self._next_at)
+        self._next_at = turn_at + interval_s
+        delay_s = turn_at - self._clock.seconds()
+        if delay_s > 0:
+            await task.deferLater(self._clock, delay_s)
+
 
 class LogFollower:
     """Delivers a stream's entries, in order, to a callback, for ever.
 
     Attributes:
+        stream: Name of the stream.
         next_offset: Offset of the next entry to deliver.
         caught_up: Whether the end of the stream has been reached once.
         reachable: Whether the last read succeeded.
@@ -112,7 +148,7 @@
     ):
         self._reactor = reactor
         self._client = client
-        self._stream = stream
+        self.stream = stream
         self._deliver = deliver
         self._running: defer.Deferred | None = None
         self._waiters: list[tuple[int, defer.Deferred]] = []
@@ -144,11 +180,11 @@
             wait_ms = defaults.LOG_READ_WAIT_MS if self.caught_up else 0
             try:
                 page = await self._client.read(
-                    self._stream, self.next_offset, wait_ms
+                    self.stream, self.next_offset, wait_ms
                 )
             except (UnreachableError, ApiError) as error:
                 if self.reachable:
-                    log.warning("stream {}: {}", self._stream, error)
+                    log.warning("stream {}: {}", self.stream, error)
                 self.reachable = False
                 await task.deferLater(self._reactor, backoff_delay(failures))
                 failures += 1
--- a/chicorystack/router/dispatcher.py
+++ b/chicorystack/router/dispatcher.py
@@ -5,11 +5,12 @@
 
 from chicorystack import defaults
 from chicorystack.budget.client import BudgetClient
+from chicorystack.budget.wallet import Reservation
 from chicorystack.config.store import ConfigStore
 from chicorystack.errors import ApiError
 from chicorystack.router.admission import Admission, Call
 from chicorystack.router.attempts import Attempts
-from chicorystack.router.forwarder import NotDeliveredError
+from chicorystack.router.forwarder import Delivered, NotDeliveredError
 
 
 class Dispatcher:
@@ -63,9 +64,7 @@
             raise _with_outcome(error, call) from error
         used = 0
         try:
-            delivered = await self._attempts(call).run(
-                request, call, reservation
-            )
+            delivered = await self._run(request, call, reservation)
             used = min(delivered.tokens, reservation.tokens)
         except (NotDeliveredError, defer.CancelledError):
             # What it used is not known here; charge the bound.
@@ -77,6 +76,19 @@
             wallet = self._budgets.wallet(reservation.shard)
             wallet.settle(reservation, call.key, used)
 
+    async def _run(
+        self, request: server.Request, call: Call, reservation: Reservation
+    ) -> Delivered:
+        """Delivers the answer, once more where the epoch was closed."""
+        attempts = self._attempts(call)
+        try:
+            return await attempts.run(request, call, reservation)
+        except ApiError as error:
+            if error.code != "epoch_closed":
+                raise
+        restated = await self._budgets.restate(reservation, call.deadline)
+        return await attempts.run(request, call, restated)
+
 
 def _with_outcome(error: ApiError, call: Call) -> ApiError:
     """Adds what is known of the call to a refusal that does not say it.
--- a/chicorystack/router/main.py
+++ b/chicorystack/router/main.py
@@ -8,7 +8,11 @@
 from chicorystack import defaults
 from chicorystack.budget.client import BudgetClient, KeeperLocator
 from chicorystack.budget.keeper_service import KeeperService
-from chicorystack.budget.messages import CustomerQuery, Exchange
+from chicorystack.budget.messages import (
+    CustomerQuery,
+    Exchange,
+    HolderQuery,
+)
 from chicorystack.calls.messages import Empty
 from chicorystack.config.messages import CONFIG_STREAM, ConfigInForce
 from chicorystack.config.store import ConfigStore
@@ -70,11 +74,17 @@
         )
         own_url = f"http://{settings.address}:{settings.control_port}"
         self._keeper = KeeperService(
-            reactor, log_client, settings.name, own_url, self._live_routers
+            reactor,
+            log_client,
+            self._client,
+            settings.name,
+            own_url,
+            self._live_routers,
+            lambda: self._vm_list.vm_by_name,
         )
         self._review_loop = task.LoopingCall(self._review_shards)
         locator = KeeperLocator(reactor, self._client, self._live_routers)
-        self._budgets = BudgetClient(reactor, locator)
+        self._budgets = BudgetClient(reactor, locator, settings.name)
         customers = CustomerDirectory(reactor, self._budgets)
         admission = Admission(reactor, settings.site, customers, self._budgets)
         attempt = Attempt(
@@ -110,6 +120,7 @@
         self._config_follower.start()
         self._vm_list.start()
         self._budgets.start()
+        self._keeper.start()
         self._review_loop.start(defaults.SHARD_REVIEW_S)
         log.info("serves site {}", self._settings.site)
 
@@ -120,6 +131,7 @@
         self._caller_port.stopListening()
         while self._dispatcher.in_flight:
             await task.deferLater(reactor, defaults.DRAIN_CHECK_S)
+        await self._budgets.hand_back()
         reactor.stop()
 
     def _control_tree(self) -> Tree:
@@ -132,6 +144,7 @@
             ("config", Empty, self._config),
             ("keeper/exchange", Exchange, keeper.handle_exchange),
             ("keeper/customer", CustomerQuery, keeper.handle_customer),
+            ("holder", HolderQuery, self._budgets.handle_holder),
             ("keeper/budgets", CustomerQuery, keeper.handle_budgets),
         ]
         for path, message_type, handler in endpoints:
--- a/tests/budget/test_keeper_and_wallet.py
+++ b/tests/budget/test_keeper_and_wallet.py
@@ -2,7 +2,7 @@
 
 import json
 
-from chicorystack.budget.keeper import ShardKeeper
+from chicorystack.budget.keeper import Demand, ShardKeeper
 from chicorystack.budget.ledger import ShardLedger
 from chicorystack.budget.messages import ExchangeReply
 from chicorystack.budget.sharing import FractionSharing
@@ -44,13 +44,14 @@
         wallet.take_reply(message, reply(keeper, False, {}, []))
         message = wallet.next_exchange()
     assert keeper.take_statement(message)
-    committed = {
-        budget: keeper.commit_target(wallet.holder, budget, wanted)
+    demands = [
+        Demand(wallet.holder, budget, wanted)
         for budget, wanted in message["wanted"].items()
-    }
+    ]
     bills = keeper.new_bills(message["usage"])
-    log.append(kind="ledger_batch", epoch=keeper.epoch, committed=committed,
-               bills=bills)  # fmt: skip
+    log.append(kind="ledger_batch", epoch=keeper.epoch, number=log.offset,
+               committed=keeper.commitments(demands), bills=bills,
+               router_by_holder={wallet.holder: "r"})  # fmt: skip
     granted = {
         budget: keeper.grant(wallet.holder, budget, wanted)
         for budget, wanted in message["wanted"].items()
@@ -63,7 +64,7 @@
 
 
 def reply(keeper, accepted, granted, refunded):
-    return ExchangeReply(epoch=keeper.epoch, accepted=accepted,
+    return ExchangeReply(epoch=keeper.epoch, accepted=accepted, void=False,
                          granted=granted, refunded=refunded,
                          remaining={})  # fmt: skip
 
