--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,10 @@
 PYTHON ?= python3
 BIN := $(VENV)/bin
 
-.PHONY: install demo test format
+.PHONY: install demo test format soak
+
+SEED ?= 1
+MINUTES ?= 10
 
 $(VENV)/.installed: pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -19,6 +22,9 @@
 	$(BIN)/ruff check .
 	$(BIN)/python -m pytest
 
+soak: install
+	$(BIN)/python -m bench.soak --seed=$(SEED) --minutes=$(MINUTES)
+
 format: install
 	$(BIN)/ruff format .
 	$(BIN)/ruff check --fix .
--- a/chicorystack/budget/keeper_service.py
+++ b/chicorystack/budget/keeper_service.py
@@ -16,7 +16,7 @@
     HolderReply,
 )
 from chicorystack.budget.shard_duty import ClosureFollower, ShardDuty
-from chicorystack.budget.sharing import FractionSharing
+from chicorystack.budget.sharing import FractionSharing, SharingPolicy
 from chicorystack.errors import ApiError
 from chicorystack.observe.logs import part_logger
 from chicorystack.platform.log_client import AppendPacer, LogClient
@@ -78,6 +78,7 @@
         url: str,
         live_routers: Callable[[], dict[str, str]],
         vms: Callable[[], dict[str, Vm]],
+        policy: SharingPolicy | None = None,
     ):
         self._reactor = reactor
         self._log_client = log_client
@@ -86,7 +87,7 @@
         self._live_routers = live_routers
         self._pacer = AppendPacer(reactor, lambda: len(live_routers()))
         self._peers = ListedPeers(client, vms)
-        self._policy = FractionSharing()
+        self._policy = policy or FractionSharing()
         self._closures = ClosureFollower(reactor, log_client)
         self._settle_loop = task.LoopingCall(self._settle_all)
         self._settle_loop.clock = reactor
--- a/chicorystack/budget/ledger.py
+++ b/chicorystack/budget/ledger.py
@@ -114,15 +114,16 @@
         """Offset in the stream of closures since which memory is needed."""
         return min(self.closures_offset_by_epoch.values(), default=0)
 
-    def is_superseded(self, holder: str) -> bool:
-        """Tells whether a holder's router has become another holder."""
-        router = self.router_by_holder[holder]
-        newest = [
-            other
-            for other, name in self.router_by_holder.items()
-            if name == router
-        ][-1]
-        return newest != holder
+    def gone_holders(self, listed: Callable[[str], bool]) -> list[str]:
+        """Returns holders whose VM is gone or has become another holder."""
+        newest = {
+            router: holder for holder, router in self.router_by_holder.items()
+        }
+        return [
+            holder
+            for holder, router in self.router_by_holder.items()
+            if newest[router] != holder or not listed(router)
+        ]
 
     def _is_repeated(self, record: CustomerCreated | ToppedUp) -> bool:
         """Tells whether an operator's record has been seen before."""
--- a/chicorystack/budget/shard_duty.py
+++ b/chicorystack/budget/shard_duty.py
@@ -156,14 +156,8 @@
             await self._claim()
 
     def _holds_for_gone_routers(self, keeper: ShardKeeper) -> bool:
-        return any(
-            keeper.holds(holder)
-            and (
-                not self._peers.listed(router)
-                or self.ledger.is_superseded(holder)
-            )
-            for holder, router in self.ledger.router_by_holder.items()
-        )
+        gone = self.ledger.gone_holders(self._peers.listed)
+        return any(keeper.holds(holder) for holder in gone)
 
     async def exchange(self, message: Exchange) -> ExchangeReply:
         """Answers a holder, once its bills and commitments are in the log.
--- a/chicorystack/standin/log_service.py
+++ b/chicorystack/standin/log_service.py
@@ -100,6 +100,10 @@
             page = self._page(query)
         return page
 
+    def entries(self, stream: str) -> list[LogEntry]:
+        """Returns what a stream holds, whatever the faults."""
+        return self._entries_by_stream[stream]
+
     async def order_faults(self, faults: LogFaults) -> Empty:
         """Sets the faults from now on."""
         self._faults = faults
--- /dev/null
+++ b/tests/budget/machine.py
@@ -0,0 +1,181 @@
+"""A random life of a small fleet; budgets must hold through all of it."""
+
+from hypothesis import assume
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+from loguru import logger
+
+from bench.budget_sim import SHARD, Simulation
+from chicorystack.observe import invariants
+
+ROUTERS = ("r1", "r2", "r3")
+AGENTS = ("a1", "a2")
+BUDGETS = ("c/a", "c/b")
+# Longer than the time between a keeper's own epochs and than a lost claim.
+HEAL_S = 200.0
+
+routers = st.sampled_from(ROUTERS)
+agents = st.sampled_from(AGENTS)
+budgets = st.sampled_from(BUDGETS)
+
+
+class BudgetMachine(RuleBasedStateMachine):
+    """Routers, agents and the log suffer; the audit reads along."""
+
+    def __init__(self):
+        super().__init__()
+        logger.disable("chicorystack")
+        invariants.violations_by_name.clear()
+        self.sim = Simulation()
+        self.key_count = 0
+        self.agents_lost = False
+        for name in ROUTERS:
+            self.sim.add_router(name, f"dc-{name}")
+        for name in AGENTS:
+            self.sim.add_agent(name, "dc-a")
+        for budget in BUDGETS:
+            self.sim.top_up(budget, 400)
+        self.sim.run(2.0)
+
+    def process(self, name):
+        return self.sim.network.process_by_name[name]
+
+    @rule(budget=budgets, tokens=st.integers(1, 500))
+    def top_up(self, budget, tokens):
+        self.sim.top_up(budget, tokens)
+
+    @rule(router=routers, budget=budgets, bound=st.integers(1, 120),
+          count=st.integers(1, 4))  # fmt: skip
+    def call(self, router, budget, bound, count):
+        for _ in range(count):
+            self.key_count += 1
+            self.sim.call(router, budget, f"k{self.key_count}-{bound}", bound)
+        self.sim.run(0.01)
+
+    @rule(router=routers, budget=budgets, number=st.integers(1, 9))
+    def call_again(self, router, budget, number):
+        """A caller retries a key elsewhere, with the same bound."""
+        self.sim.call(router, budget, f"again-{budget}-{number}", 50)
+        self.sim.run(0.01)
+
+    @rule(seconds=st.sampled_from([0.05, 0.3, 1.0, 4.0, 20.0]))
+    def wait(self, seconds):
+        self.sim.run(seconds)
+
+    @rule()
+    def wait_for_an_epoch(self):
+        self.sim.run(130.0)
+
+    @rule(name=routers, listed=st.booleans())
+    def kill_router(self, name, listed):
+        self.sim.network.kill(self.process(name))
+        if not listed:
+            self.sim.unlist(name)
+
+    @rule(name=routers)
+    def restart_router(self, name):
+        assume(self.process(name).dead)
+        self.sim.add_router(name, f"dc-{name}")
+
+    @rule(name=routers, listed=st.booleans())
+    def pause_router(self, name, listed):
+        self.process(name).paused = True
+        if not listed:
+            self.sim.unlist(name)
+
+    @rule(name=routers)
+    def resume_router(self, name):
+        process = self.process(name)
+        assume(process.paused and not process.dead)
+        process.resume()
+
+    @rule(name=agents)
+    def pause_or_resume_agent(self, name):
+        process = self.process(name)
+        if process.paused:
+            process.resume()
+        else:
+            process.paused = True
+
+    @rule(name=agents)
+    def restart_agent(self, name):
+        self.agents_lost = True
+        self.sim.network.kill(self.process(name))
+        self.sim.add_agent(name, "dc-a")
+
+    @rule(down=st.booleans(), delay_s=st.sampled_from([0.0, 0.5, 3.0]),
+          lose_answers=st.integers(0, 2))  # fmt: skip
+    def trouble_log(self, **faults):
+        self.sim.order_log(**faults)
+
+    @rule(name=routers | agents, count=st.integers(1, 3))
+    def lose_replies(self, name, count):
+        self.sim.network.replies_to_lose[name] = count
+
+    @rule(one=st.sampled_from(["dc-r1", "dc-r2", "dc-r3", "dc-a", "log"]),
+          other=st.sampled_from(["dc-r1", "dc-r2", "dc-r3"]))  # fmt: skip
+    def cut_or_mend(self, one, other):
+        self.sim.network.cut_groups ^= {frozenset((one, other))}
+
+    @invariant()
+    def nothing_was_violated(self):
+        assert not invariants.violations_by_name
+
+    @invariant()
+    def within_budget(self):
+        self.sim.read_audit()
+        assert not self.sim.double_bills
+        for budget, state in self.sim.audit.budget_by_id.items():
+            assert state.billed <= state.committed <= state.topped_up
+            used = self.sim.engine_use_by_budget[budget]
+            assert sum(used.values()) <= state.topped_up, budget
+
+    def teardown(self):
+        self.heal()
+        self.nothing_was_violated()
+        self.within_budget()
+        self.check_bills()
+        self.check_settled()
+        logger.enable("chicorystack")
+
+    def heal(self):
+        self.sim.order_log()
+        self.sim.network.cut_groups = set()
+        self.sim.network.replies_to_lose.clear()
+        for name, process in list(self.sim.network.process_by_name.items()):
+            if process.paused:
+                process.resume()
+            if process.dead:
+                self.sim.unlist(name)
+        # Those that resumed without a place on the list go in the end.
+        self.sim.run(10.0)
+        for name, process in list(self.sim.network.process_by_name.items()):
+            if name != "log" and name not in self.sim.vm_by_name:
+                self.sim.network.kill(process)
+        self.sim.run(HEAL_S)
+        if not any(self.sim.keepers()):
+            self.sim.add_router("r4")
+            self.sim.run(HEAL_S)
+
+    def check_bills(self):
+        """Every key that was answered is billed, but for lost memories."""
+        for outcome in self.sim.outcomes:
+            if outcome.code == "done" and not outcome.agent.dead:
+                assert outcome.key in self.sim.bill_by_key, outcome
+
+    def check_settled(self):
+        """What nobody holds is free again, but for what is stranded."""
+        keepers = list(self.sim.keepers())
+        assert len(keepers) == 1
+        keeper = keepers[0].keeper.duty_by_shard[SHARD].keeper
+        assert keeper.unsettled == 0
+        for budget in BUDGETS:
+            state = self.sim.audit.budget(budget)
+            assert self.agents_lost or state.stranded == 0
+            live = [
+                node.budgets.wallet(SHARD).held(budget).held
+                for node in self.sim.router_by_name.values()
+                if not node.process.dead
+            ]
+            held = sum(keeper.held_by_budget[budget].values())
+            assert held == sum(live)
--- /dev/null
+++ b/tests/budget/test_budget_machine.py
@@ -0,0 +1,10 @@
+"""A short run of the random life; `make soak` makes long ones."""
+
+from hypothesis import settings
+
+from tests.budget.machine import BudgetMachine
+
+TestBudgetMachine = BudgetMachine.TestCase
+TestBudgetMachine.settings = settings(
+    max_examples=8, stateful_step_count=25, deadline=None
+)
