--- a/tests/budget/test_ledger.py
+++ b/tests/budget/test_ledger.py
@@ -38,8 +38,8 @@
 
 
 def customer(record_id, key_hash):
-    return {"kind": "customer_created", "id": record_id, "customer": "c",
-            "key_salt": "00", "key_hash": key_hash, "operator": "o"}  # fmt: skip
+    return {"kind": "customer_created", "id": record_id, "operator": "o",
+            "customer": "c", "key_salt": "00", "key_hash": key_hash}  # fmt: skip
 
 
 def begun():
