--- a/chicorystack/agent/closures.py
+++ b/chicorystack/agent/closures.py
@@ -83,14 +83,18 @@
         self._target = target
         self._gate = gate
         self._follower = LogFollower(
-            reactor, log_client, CLOSURES_STREAM, self._deliver
+            reactor,
+            log_client,
+            CLOSURES_STREAM,
+            self._deliver,
+            pause_s=defaults.CLOSURES_READ_PAUSE_S,
         )
+        self._following = False
         self._loop = task.LoopingCall(self._register)
         self._loop.clock = reactor
 
     def start(self) -> None:
         """Begins; the gate is ready once the own record has been read."""
-        self._follower.start()
         self._loop.start(defaults.AGENT_PRESENT_INTERVAL_S)
 
     def _deliver(self, entry: LogEntry) -> None:
@@ -114,6 +118,10 @@
         offset = await self._log_client.append_until_acknowledged(
             CLOSURES_STREAM, record
         )
+        if not self._following:
+            # So that the first read finds the record.
+            self._following = True
+            self._follower.start()
         await self._follower.delivered_up_to(offset)
         if record["incarnation"] != self._gate.incarnation:
             return
--- a/chicorystack/budget/keeper_service.py
+++ b/chicorystack/budget/keeper_service.py
@@ -127,6 +127,14 @@
             settling = defer.ensureDeferred(duty.settle())
             settling.addErrback(_log_failure, shard)
 
+    def epoch_by_shard(self) -> dict[str, int]:
+        """Returns the shards that this router keeps, with their epochs."""
+        return {
+            str(shard): duty.keeper.epoch
+            for shard, duty in self.duty_by_shard.items()
+            if duty.keeper is not None and duty.keeper.in_force
+        }
+
     def stop(self) -> None:
         """Gives up all duties."""
         if self._settle_loop.running:
--- a/chicorystack/budget/settlement.py
+++ b/chicorystack/budget/settlement.py
@@ -19,6 +19,7 @@
 from chicorystack.budget.keeper import ShardKeeper
 from chicorystack.budget.messages import HolderQuery, Usage
 from chicorystack.budget.shard_writer import Journal, ShardWriter
+from chicorystack.observe.decisions import decisions
 from chicorystack.util import new_id
 
 
@@ -178,6 +179,12 @@
         if holders:
             # From here on, those who come back are told that they are void.
             self._keeper.giving_up.update(holders)
+            decisions.record_notable(
+                f"shard-{self._keeper.ledger.shard}",
+                "keeper",
+                f"gives up holders {', '.join(holders)}",
+                "they have not registered and their VM is gone or replaced",
+            )
             await self._writer.give_up(holders)
 
     async def _register_holders(self) -> str:
@@ -242,3 +249,9 @@
         stranded = self._state.stranded(verdict)
         await self._writer.settle(closed, stranded, verdict.reason)
         self._keeper.end_settlement()
+        decisions.record_notable(
+            f"shard-{self._keeper.ledger.shard}",
+            "keeper",
+            f"settled epochs up to {closed}, stranded {sum(stranded.values())}",
+            verdict.reason or "all who may hold tokens are accounted for",
+        )
--- a/chicorystack/budget/shard_duty.py
+++ b/chicorystack/budget/shard_duty.py
@@ -20,7 +20,9 @@
 from chicorystack.budget.shard_writer import ShardWriter
 from chicorystack.budget.sharing import SharingPolicy
 from chicorystack.errors import ApiError
+from chicorystack.observe.decisions import decisions
 from chicorystack.observe.logs import part_logger
+from chicorystack.observe.metrics import metrics
 from chicorystack.platform.log_client import (
     AppendPacer,
     LogClient,
@@ -178,6 +180,7 @@
         await self._writer.write(message)
         self._require_same(keeper)
         granted = self._grant(keeper, message)
+        _note_grants(message, granted)
         return _reply(
             keeper,
             accepted=True,
@@ -253,6 +256,13 @@
         self.ledger.on_bill(None)
         if not self._claiming:
             log.info("shard {} has a newer keeper", self.ledger.shard)
+            metrics.count("keeper.losses")
+            decisions.record_notable(
+                self._stream,
+                "keeper",
+                "duty lost",
+                f"epoch {self.ledger.epoch} stands in the log",
+            )
             self._lose_claim()
 
     def _lose_claim(self) -> None:
@@ -304,9 +314,30 @@
         )
         self._claims_lost = 0
         self._claim_at = self._clock.seconds() + defaults.SETTLE_EPOCH_MIN_S
+        metrics.count("keeper.claims")
+        decisions.record_notable(
+            self._stream,
+            "keeper",
+            f"keeps it in epoch {epoch}",
+            "its claim was the first of the epoch in the log",
+        )
         log.info("keeps shard {} in epoch {}", self.ledger.shard, epoch)
 
 
+def _note_grants(message: Exchange, granted: dict[str, int]) -> None:
+    metrics.count("keeper.exchanges")
+    for budget, tokens in granted.items():
+        metrics.count("keeper.granted", tokens)
+        subject = f"budget:{budget}"
+        cause = f"wanted {message['wanted'][budget]}"
+        if tokens:
+            decision = f"granted {tokens} to {message['holder']}"
+            decisions.record(subject, "keeper", decision, cause)
+        else:
+            decision = f"refused {message['holder']}"
+            decisions.record_notable(subject, "keeper", decision, cause)
+
+
 class Refresher:
     """Reads a stream to its end before something is refused.
 
--- a/chicorystack/budget/wallet.py
+++ b/chicorystack/budget/wallet.py
@@ -35,7 +35,7 @@
     epoch: int
     tokens: int
     use: str
-    settled_below: int
+    settled_below: int = 0
 
 
 class BudgetWallet(NamedTuple):
--- a/chicorystack/defaults.py
+++ b/chicorystack/defaults.py
@@ -9,6 +9,11 @@
 CONNECTIONS_PER_HOST = 256
 
 # Sizes of what callers may send.
+MAX_HEADERS = 64
+MAX_HEADER_BYTES = 16 * 1024
+REQUEST_ARRIVAL_S = 15.0
+MAX_CONNECTIONS = 4096
+SPARE_DESCRIPTORS = 64
 MAX_BODY_BYTES = 256 * 1024
 MAX_DROPPED_BODY_BYTES = 16 * 1024 * 1024
 MAX_CALL_KEY_CHARS = 128
@@ -37,6 +42,16 @@
 VM_LIST_POLL_S = 1.0
 SHARD_REVIEW_S = 0.5
 
+# Configuration.
+CONFIG_POLL_S = 1.0
+CONFIG_PEER_TIMEOUT_S = 1.0
+# Routers that a process asks in turn.
+CONFIG_PEERS = 4
+CONFIG_READERS_PER_DATA_CENTRE = 3
+CONFIG_KEEP_GRACE_S = 60.0
+# Versions whose publication's id is remembered.
+CONFIG_WINNERS_KEPT = 1_000
+
 # Budgets.
 DEFAULT_BUDGET = "main"
 SHARD_COUNT = 4
@@ -61,6 +76,8 @@
 SETTLE_EPOCH_MIN_S = 120.0
 # A holder that stays unreachable for so long is settled without it.
 HOLDER_LOST_S = 900.0
+# Keepers tell agents of closures directly; this finds what they missed.
+CLOSURES_READ_PAUSE_S = 30.0
 AGENT_PRESENT_INTERVAL_S = 21_600.0
 # Usage older than this may have been billed and forgotten.
 USAGE_BILLABLE_S = 1_200.0
@@ -70,3 +87,10 @@
 LOAD_REPORT_INTERVAL_S = 0.5
 DRAIN_CHECK_S = 0.05
 KEPT_ANSWER_MAX_BYTES = 4 * 1024 * 1024
+
+# Observation.
+METRICS_INTERVAL_S = 10.0
+METRICS_DATAGRAM_BYTES = 1400
+METRICS_MAX_TIMINGS = 1_000
+DECISIONS_KEPT = 8_192
+DECISION_CAUSE_MAX_CHARS = 200
--- a/chicorystack/platform/log_client.py
+++ b/chicorystack/platform/log_client.py
@@ -132,6 +132,9 @@
 class LogFollower:
     """Delivers a stream's entries, in order, to a callback, for ever.
 
+    At the end of the stream it waits for the next entry or, where told so,
+    pauses for a fixed time.
+
     Attributes:
         stream: Name of the stream.
         next_offset: Offset of the next entry to deliver.
@@ -145,9 +148,11 @@
         client: LogClient,
         stream: str,
         deliver: Callable[[LogEntry], None],
+        pause_s: float = 0.0,
     ):
         self._reactor = reactor
         self._client = client
+        self._pause_s = pause_s
         self.stream = stream
         self._deliver = deliver
         self._running: defer.Deferred | None = None
@@ -177,7 +182,8 @@
     async def _run(self) -> None:
         failures = 0
         while True:
-            wait_ms = defaults.LOG_READ_WAIT_MS if self.caught_up else 0
+            waits = self.caught_up and not self._pause_s
+            wait_ms = defaults.LOG_READ_WAIT_MS if waits else 0
             try:
                 page = await self._client.read(
                     self.stream, self.next_offset, wait_ms
@@ -192,6 +198,8 @@
             failures = 0
             self.reachable = True
             self._take(page)
+            if self._pause_s and self.caught_up:
+                await task.deferLater(self._reactor, self._pause_s)
 
     def _take(self, page: ReadPage) -> None:
         for entry in page["entries"]:
--- a/chicorystack/router/main.py
+++ b/chicorystack/router/main.py
@@ -1,7 +1,6 @@
 """Starts a router: settings, followers, interfaces, orderly stop."""
 
 import signal
-from typing import TypedDict
 
 from twisted.internet import defer, reactor, task
 
@@ -13,11 +12,21 @@
     Exchange,
     HolderQuery,
 )
-from chicorystack.calls.messages import Empty
-from chicorystack.config.messages import CONFIG_STREAM, ConfigInForce
+from chicorystack.config.messages import ConfigInForce, ConfigQuery
+from chicorystack.config.peers import live_routers
+from chicorystack.config.source import RouterConfigSource
 from chicorystack.config.store import ConfigStore
+from chicorystack.observe.endpoints import (
+    ProcessStatus,
+    Readiness,
+    TargetStatus,
+    make_status,
+    put_observe_endpoints,
+)
 from chicorystack.observe.logs import part_logger, setup_logs
-from chicorystack.platform.log_client import LogClient, LogFollower
+from chicorystack.observe.metrics import start_metrics
+from chicorystack.platform.log_client import LogClient
+from chicorystack.platform.messages import Vm
 from chicorystack.platform.vm_list import VmListPoller
 from chicorystack.router.admission import Admission
 from chicorystack.router.attempts import (
@@ -30,7 +39,8 @@
 from chicorystack.router.forwarder import Forwarder
 from chicorystack.router.resources import caller_tree
 from chicorystack.routing.targets import TargetTable
-from chicorystack.settings.loader import run_program, settings_command
+from chicorystack.settings.command_line import run_program
+from chicorystack.settings.loader import settings_command
 from chicorystack.settings.types import RouterSettings
 from chicorystack.web.client import JsonClient
 from chicorystack.web.server import (
@@ -38,24 +48,11 @@
     Tree,
     fleet_authorizer,
     listen,
-    open_to_all,
 )
 
 log = part_logger("router")
 
 
-class Readiness(TypedDict):
-    """Whether a router can serve calls.
-
-    Attributes:
-        ready: Whether it has a configuration and the VM list, and stays.
-        config_version: Version in force here.
-    """
-
-    ready: bool
-    config_version: int
-
-
 class RouterProcess:
     """One router with all its parts."""
 
@@ -69,8 +66,13 @@
         self._targets = TargetTable(settings.data_centre)
         self._draining = False
         log_client = LogClient(reactor, self._client, settings.log_url)
-        self._config_follower = LogFollower(
-            reactor, log_client, CONFIG_STREAM, self._store.deliver
+        self._config = RouterConfigSource(
+            reactor,
+            settings,
+            self._client,
+            log_client,
+            self._store,
+            self._vms,
         )
         own_url = f"http://{settings.address}:{settings.control_port}"
         self._keeper = KeeperService(
@@ -100,6 +102,7 @@
         )
         self._store.on_change(lambda _: self._update_targets())
         self._vm_list.on_change(self._update_targets)
+        self._vm_list.on_change(self._config.review_vms)
         self._caller_port = listen(
             reactor,
             caller_tree(
@@ -117,7 +120,7 @@
 
     def start(self) -> None:
         """Begins to follow the platform and to serve."""
-        self._config_follower.start()
+        self._config.start()
         self._vm_list.start()
         self._budgets.start()
         self._keeper.start()
@@ -138,10 +141,9 @@
         authorize = fleet_authorizer(self._settings.fleet_token)
         keeper = self._keeper
         root = Tree()
-        root.put("healthz", JsonEndpoint(Empty, self._health, open_to_all))
-        root.put("readyz", JsonEndpoint(Empty, self._readiness, open_to_all))
+        put_observe_endpoints(root, authorize, self._readiness, self._status)
         endpoints = [
-            ("config", Empty, self._config),
+            ("config", ConfigQuery, self._answer_config),
             ("keeper/exchange", Exchange, keeper.handle_exchange),
             ("keeper/customer", CustomerQuery, keeper.handle_customer),
             ("holder", HolderQuery, self._budgets.handle_holder),
@@ -151,23 +153,46 @@
             root.put(path, JsonEndpoint(message_type, handler, authorize))
         return root
 
-    async def _health(self, _message: Empty) -> Empty:
-        return Empty()
-
-    async def _readiness(self, _message: Empty) -> Readiness:
+    def _readiness(self) -> Readiness:
         version = self._store.config.version
-        ready = version > 0 and self._vm_list.loaded and not self._draining
-        return Readiness(ready=ready, config_version=version)
+        readiness = Readiness(ready=True, config_version=version)
+        if self._draining:
+            readiness |= {"ready": False, "reason": "draining"}
+        elif version == 0:
+            readiness |= {"ready": False, "reason": "no configuration yet"}
+        elif not self._vm_list.loaded:
+            readiness |= {"ready": False, "reason": "no VM list yet"}
+        return readiness
+
+    def _status(self) -> ProcessStatus:
+        status = make_status(
+            self._settings.name,
+            "router",
+            self._readiness(),
+            self._dispatcher.in_flight,
+        )
+        status["epoch_by_shard"] = self._keeper.epoch_by_shard()
+        status["targets"] = [
+            TargetStatus(
+                target=target.name,
+                leaving=target.leaving,
+                in_flight=target.sent,
+            )
+            for target in self._targets.target_by_name.values()
+        ]
+        return status
+
+    async def _answer_config(self, query: ConfigQuery) -> ConfigInForce:
+        return self._store.in_force(query.get("known", 0))
 
-    async def _config(self, _message: Empty) -> ConfigInForce:
-        return self._store.in_force()
+    def _vms(self) -> list[Vm]:
+        return list(self._vm_list.vm_by_name.values())
 
     def _live_routers(self) -> dict[str, str]:
         """Returns control URLs of live routers by name."""
         return {
-            name: f"http://{vm['address']}:{vm['port']}"
-            for name, vm in self._vm_list.vm_by_name.items()
-            if vm["role"] == "router" and vm["state"] == "live"
+            vm["name"]: f"http://{vm['address']}:{vm['port']}"
+            for vm in live_routers(self._vms())
         }
 
     def _review_shards(self) -> None:
@@ -183,6 +208,7 @@
 def run(settings: RouterSettings) -> None:
     """Runs a router until it is told to stop."""
     setup_logs(settings.name, settings.log_level)
+    start_metrics(reactor, settings.statsd, settings.name)
     process = RouterProcess(settings)
     process.start()
     signal.signal(
