--- a/bench/budget_sim.py
+++ b/bench/budget_sim.py
@@ -14,9 +14,9 @@
 
 from chicorystack import defaults
 from chicorystack.agent.closures import AgentRegistration, EpochGate
-from chicorystack.agent.usage_table import UsageTable
+from chicorystack.agent.usage_table import HolderUsage
 from chicorystack.budget.client import BudgetClient, KeeperLocator
-from chicorystack.budget.closures import SettleQuery
+from chicorystack.budget.closures import ClosingQuery
 from chicorystack.budget.keeper_service import KeeperService
 from chicorystack.budget.ledger import ShardLedger
 from chicorystack.budget.messages import (
@@ -273,25 +273,28 @@
     def __init__(self, sim: "Simulation", process: Process):
         self._sim = sim
         self._process = process
-        self._usage = UsageTable(process)
+        self._usage = HolderUsage(process)
         self.gate = EpochGate(self._usage)
         client = NetworkClient(sim.network, process)
         log = LogClient(process, client, "http://log")
         AgentRegistration(process, log, process.name, self.gate).start()
         process.handler_by_path = {
             "run": (CallHeader, self.run),
-            "settle": (SettleQuery, self.gate.settle),
+            "close-epochs": (ClosingQuery, self.gate.close),
         }
 
     async def run(self, call: CallHeader) -> Done:
         """Runs a call as the gate and the generations do."""
         self.gate.check(call)
-        with self._usage.running(call) as run:
-            run.tokens = call["reserved"]
-            tokens = used_tokens(call["key"], call["reserved"])
-            self._sim.note_engine_use(call, tokens)
+        self._usage.begin(call)
+        used = call["reserved"]
+        tokens = used_tokens(call["key"], call["reserved"])
+        self._sim.note_engine_use(call, tokens)
+        try:
             await task.deferLater(self._process, CALL_S)
-            run.tokens = tokens
+            used = tokens
+        finally:
+            self._usage.end(call, used)
         return Done(tokens=tokens)
 
 
--- a/chicorystack/agent/closures.py
+++ b/chicorystack/agent/closures.py
@@ -3,13 +3,13 @@
 from twisted.internet import defer, task
 
 from chicorystack import defaults
-from chicorystack.agent.usage_table import UsageTable
+from chicorystack.agent.usage_table import HolderUsage
 from chicorystack.budget.closures import (
     CLOSURES_STREAM,
     AgentStarted,
+    ClosingQuery,
+    ClosingReply,
     ClosureLedger,
-    SettleQuery,
-    SettleReply,
 )
 from chicorystack.calls.messages import CallHeader
 from chicorystack.errors import ApiError
@@ -30,7 +30,7 @@
         incarnation: Id of this life of the agent's process.
     """
 
-    def __init__(self, usage: UsageTable):
+    def __init__(self, usage: HolderUsage):
         self._usage = usage
         self.ledger = ClosureLedger()
         self.ready = False
@@ -60,12 +60,12 @@
                 "epoch_closed", f"epochs up to {closed} of the shard are closed"
             )
 
-    async def settle(self, query: SettleQuery) -> SettleReply:
+    async def close(self, query: ClosingQuery) -> ClosingReply:
         """Closes epochs and reports what routers that are gone have used."""
         shard, epoch = query["shard"], query["epoch"]
         self.ledger.close(shard, epoch)
         holders = set(query["holders"])
-        return SettleReply(
+        return ClosingReply(
             incarnation=self.incarnation,
             running=self._usage.count_running(shard, epoch, holders),
             forgotten=self._usage.forgotten(shard, epoch, holders),
--- a/chicorystack/agent/main.py
+++ b/chicorystack/agent/main.py
@@ -10,10 +10,12 @@
 from chicorystack.agent.generations import Generations
 from chicorystack.agent.service_calls import ServiceCalls
 from chicorystack.agent.target_client import TargetClient
-from chicorystack.agent.usage_table import UsageTable
-from chicorystack.budget.closures import SettleQuery
+from chicorystack.agent.usage_table import AgentUsage
+from chicorystack.budget.closures import ClosingQuery
+from chicorystack.calls.kept_streams import KeptStreams
 from chicorystack.calls.messages import Empty, EngineLoad
 from chicorystack.calls.run_table import RunTable
+from chicorystack.calls.usage_table import SettleRequest
 from chicorystack.config.peers import PeerPoller, config_peers
 from chicorystack.config.store import ConfigStore
 from chicorystack.errors import ApiError
@@ -60,8 +62,8 @@
         )
         target = TargetClient(make_http_agent(reactor), settings.target_url)
         authorize = fleet_authorizer(settings.fleet_token)
-        usage = UsageTable(reactor)
-        epochs = EpochGate(usage)
+        usage = AgentUsage(reactor)
+        epochs = EpochGate(usage.by_holder)
         self._epochs = epochs
         log_client = LogClient(reactor, self._client, settings.log_url)
         self._registration = AgentRegistration(
@@ -70,8 +72,8 @@
         self._gate = Gate(
             settings,
             self._store,
-            Generations(target, usage),
-            ServiceCalls(target, RunTable(reactor), usage),
+            Generations(target, usage, KeptStreams(reactor)),
+            ServiceCalls(reactor, target, RunTable(reactor), usage),
             epochs,
             authorize,
             self._config_peers.note_version,
@@ -79,8 +81,15 @@
         self._load_loop = task.LoopingCall(self._poll_target_load)
         root = Tree()
         root.put("run", self._gate)
+        root.put(
+            "settle",
+            JsonEndpoint(SettleRequest, usage.by_use.settle, authorize),
+        )
         root.put("load", JsonEndpoint(Empty, self._gate.load, authorize))
-        root.put("settle", JsonEndpoint(SettleQuery, epochs.settle, authorize))
+        root.put(
+            "close-epochs",
+            JsonEndpoint(ClosingQuery, epochs.close, authorize),
+        )
         put_observe_endpoints(root, authorize, self._readiness, self._status)
         self._port = listen(reactor, root, settings.address, settings.port)
 
--- a/chicorystack/budget/closures.py
+++ b/chicorystack/budget/closures.py
@@ -64,7 +64,7 @@
 }
 
 
-class SettleQuery(TypedDict):
+class ClosingQuery(TypedDict):
     """Asks an agent to close epochs and to say what it knows of them.
 
     Attributes:
@@ -84,14 +84,16 @@
 
     Attributes:
         usage: The usage.
+        reserved: Upper bound on it.
         age_s: Seconds since the run ended.
     """
 
     usage: Usage
+    reserved: int
     age_s: float
 
 
-class SettleReply(TypedDict):
+class ClosingReply(TypedDict):
     """An agent's acknowledgement that it refuses the closed epochs.
 
     Attributes:
--- a/chicorystack/budget/keeper_service.py
+++ b/chicorystack/budget/keeper_service.py
@@ -5,7 +5,7 @@
 from twisted.internet import defer, task
 
 from chicorystack import defaults
-from chicorystack.budget.closures import SettleQuery, SettleReply
+from chicorystack.budget.closures import ClosingQuery, ClosingReply
 from chicorystack.budget.messages import (
     BudgetsReply,
     CustomerQuery,
@@ -40,10 +40,10 @@
         return not vm_by_name or name in vm_by_name
 
     async def ask_agent(
-        self, target: str, query: SettleQuery
-    ) -> SettleReply | None:
+        self, target: str, query: ClosingQuery
+    ) -> ClosingReply | None:
         """Asks a target's agent; None where no answer came."""
-        return await self._post(target, "settle", query, SettleReply)
+        return await self._post(target, "close-epochs", query, ClosingReply)
 
     async def tell_router(self, router: str, query: HolderQuery) -> str | None:
         """Tells a router the epoch; returns the holder that it is now."""
--- a/chicorystack/budget/settlement.py
+++ b/chicorystack/budget/settlement.py
@@ -5,16 +5,18 @@
 """
 
 from collections import defaultdict
+from collections.abc import Iterable, Iterator
 from typing import NamedTuple, Protocol
 
 from chicorystack import defaults
 from chicorystack.budget.closures import (
     CLOSURES_STREAM,
+    AgedUsage,
     AgentGone,
+    ClosingQuery,
+    ClosingReply,
     ClosureLedger,
     EpochClosed,
-    SettleQuery,
-    SettleReply,
 )
 from chicorystack.budget.keeper import ShardKeeper
 from chicorystack.budget.messages import HolderQuery, Usage
@@ -30,8 +32,8 @@
         """Tells whether the platform lists a VM."""
 
     async def ask_agent(
-        self, target: str, query: SettleQuery
-    ) -> SettleReply | None:
+        self, target: str, query: ClosingQuery
+    ) -> ClosingReply | None:
         """Asks a target's agent; None where no answer came."""
 
     async def tell_router(self, router: str, query: HolderQuery) -> str | None:
@@ -69,13 +71,14 @@
         self._keeper = keeper
         self._closures = closures
 
-    def judge(self, reply_by_target: dict[str, SettleReply]) -> Verdict:
+    def judge(self, reply_by_target: dict[str, ClosingReply]) -> Verdict:
         """Weighs the replies of all agents."""
         waits_for = self._waits_for(reply_by_target)
-        replies = list(reply_by_target.values())
-        aged = [run for reply in replies for run in reply["usage"]]
+        if waits_for:
+            return Verdict(waits_for, [], {}, "")
+        runs = list(_whole_runs(reply_by_target.values()))
         bills = [
-            run.usage for run in aged if run.age_s < defaults.USAGE_BILLABLE_S
+            run.usage for run in runs if run.age_s < defaults.USAGE_BILLABLE_S
         ]
         lost = self._closures.lost_since(self._keeper.ledger.settling_since)
         forgetful = sorted(
@@ -86,13 +89,13 @@
         if lost or forgetful:
             names = ", ".join(lost + forgetful)
             reason = f"agents lost their memory: {names}"
-            return Verdict(waits_for, bills, self._all_unsettled(), reason)
+            return Verdict("", bills, self._all_unsettled(), reason)
         old: defaultdict[str, int] = defaultdict(int)
-        for run in aged:
+        for run in runs:
             if run.age_s >= defaults.USAGE_BILLABLE_S:
                 old[run.usage.budget] += run.usage.tokens
         reason = "usage was reported too late to be billed" if old else ""
-        return Verdict(waits_for, bills, dict(old), reason)
+        return Verdict("", bills, dict(old), reason)
 
     def stranded(self, verdict: Verdict) -> dict[str, int]:
         """Returns what to strand now that the verdict's bills are billed."""
@@ -110,7 +113,7 @@
             if tokens
         }
 
-    def _waits_for(self, reply_by_target: dict[str, SettleReply]) -> str:
+    def _waits_for(self, reply_by_target: dict[str, ClosingReply]) -> str:
         for target, life in self._closures.incarnation_by_target.items():
             reply = reply_by_target.get(target)
             if reply is None or reply["incarnation"] != life:
@@ -119,6 +122,23 @@
         return f"waits for {running} runs to end" if running else ""
 
 
+def _add(one: AgedUsage, other: AgedUsage) -> AgedUsage:
+    """Adds two parts of a run, up to what was reserved for it."""
+    tokens = min(one.usage.tokens + other.usage.tokens, one.reserved)
+    usage = one.usage._replace(tokens=tokens)
+    return one._replace(usage=usage, age_s=max(one.age_s, other.age_s))
+
+
+def _whole_runs(replies: Iterable[ClosingReply]) -> Iterator[AgedUsage]:
+    """Adds up the parts of runs that several agents served."""
+    run_by_use: dict[str, AgedUsage] = {}
+    for part in (part for reply in replies for part in reply["usage"]):
+        use = part.usage.use
+        earlier = run_by_use.get(use)
+        run_by_use[use] = part if earlier is None else _add(earlier, part)
+    yield from run_by_use.values()
+
+
 class EpochSettlement:
     """Carries one keeper's settlement out, step by step.
 
@@ -168,9 +188,9 @@
             return
         await self._close()
         verdict = self._state.judge(await self._ask_agents())
-        await self._writer.write_bills(verdict.bills)
         self.waits_for = verdict.waits_for
         if not verdict.waits_for:
+            await self._writer.write_bills(verdict.bills)
             await self._finish(verdict)
 
     async def _give_up_holders(self) -> None:
@@ -219,13 +239,13 @@
         )
         await self._journal.append_and_read(CLOSURES_STREAM, lambda: record)
 
-    async def _ask_agents(self) -> dict[str, SettleReply]:
-        query = SettleQuery(
+    async def _ask_agents(self) -> dict[str, ClosingReply]:
+        query = ClosingQuery(
             shard=self._keeper.ledger.shard,
             epoch=self._keeper.epoch - 1,
             holders=self._keeper.ledger.void_holders,
         )
-        replies: dict[str, SettleReply] = {}
+        replies: dict[str, ClosingReply] = {}
         lives = dict(self._closures.incarnation_by_target)
         for target, incarnation in lives.items():
             reply = await self._peers.ask_agent(target, query)
--- a/tests/web/test_fuzz.py
+++ b/tests/web/test_fuzz.py
@@ -10,9 +10,9 @@
 
 from chicorystack.agent.closures import EpochGate
 from chicorystack.agent.gate import Gate
-from chicorystack.agent.usage_table import UsageTable
+from chicorystack.agent.usage_table import HolderUsage
 from chicorystack.budget.client import BudgetClient
-from chicorystack.budget.closures import SettleQuery
+from chicorystack.budget.closures import ClosingQuery
 from chicorystack.budget.keeper_service import KeeperService
 from chicorystack.budget.messages import (
     BudgetsReply,
@@ -127,7 +127,7 @@
     store = make_store()
     clock = task.Clock()
     keeper = KeeperService(clock, None, None, "r", "u", dict, dict)
-    epochs = EpochGate(UsageTable(clock))
+    epochs = EpochGate(HolderUsage(clock))
     epochs.ready = True
     holders = BudgetClient(clock, None, "r")
     service = FakeService()
@@ -163,7 +163,7 @@
         ("keeper/customer", CustomerQuery, keeper.handle_customer),
         ("keeper/budgets", CustomerQuery, keeper.handle_budgets),
         ("holder", HolderQuery, holders.handle_holder),
-        ("settle", SettleQuery, epochs.settle),
+        ("close-epochs", ClosingQuery, epochs.close),
     ):
         root.put(path, JsonEndpoint(kind, handler, authorize))
     return Wire(root)
@@ -241,7 +241,7 @@
     b"/explain?subjects=a,b",
     b"/report",
     b"/holder",
-    b"/settle",
+    b"/close-epochs",
     b"/status",
     b"/readyz",
 ]
