--- a/chicorystack/budget/settlement.py
+++ b/chicorystack/budget/settlement.py
@@ -139,6 +139,47 @@
     yield from run_by_use.values()
 
 
+class HolderProbe:
+    """Finds holders whose process has been replaced on the same VM.
+
+    Attributes:
+        replaced: Those found.
+    """
+
+    def __init__(self, clock, keeper: ShardKeeper, peers: Peers):
+        self._clock = clock
+        self._keeper = keeper
+        self._peers = peers
+        self._probe_at = clock.seconds() + defaults.HOLDER_PROBE_S
+        self._seen_by_holder: dict[str, int] = {}
+        self.replaced: set[str] = set()
+
+    async def step(self) -> None:
+        """Asks the routers of holders that were silent since the last look."""
+        if self._clock.seconds() < self._probe_at:
+            return
+        self._probe_at = self._clock.seconds() + defaults.HOLDER_PROBE_S
+        seen, numbers = self._seen_by_holder, self._keeper.number_by_holder
+        self._seen_by_holder = dict(numbers)
+        silent = [
+            holder
+            for holder, number in numbers.items()
+            if seen.get(holder) == number and self._keeper.holds(holder)
+        ]
+        for holder in silent:
+            await self._probe(holder)
+
+    async def _probe(self, holder: str) -> None:
+        keeper = self._keeper
+        router = keeper.ledger.router_by_holder.get(holder)
+        if router is None:
+            return
+        query = HolderQuery(shard=keeper.ledger.shard, epoch=keeper.epoch)
+        now_there = await self._peers.tell_router(router, query)
+        if now_there not in (None, holder):
+            self.replaced.add(holder)
+
+
 class EpochSettlement:
     """Carries one keeper's settlement out, step by step.
 
--- a/chicorystack/budget/shard_duty.py
+++ b/chicorystack/budget/shard_duty.py
@@ -16,7 +16,11 @@
     KeeperClaimed,
     shard_stream,
 )
-from chicorystack.budget.settlement import EpochSettlement, Peers
+from chicorystack.budget.settlement import (
+    EpochSettlement,
+    HolderProbe,
+    Peers,
+)
 from chicorystack.budget.shard_writer import ShardWriter
 from chicorystack.budget.sharing import SharingPolicy
 from chicorystack.errors import ApiError
@@ -117,6 +121,7 @@
         self._refresher = Refresher(reactor, log_client, self._follower)
         self._writer: ShardWriter | None = None
         self._settlement: EpochSettlement | None = None
+        self._probe: HolderProbe | None = None
         self._settling = False
         self._claiming = False
         self._claim_at = 0.0
@@ -152,13 +157,15 @@
         if self._settlement.needed:
             await self._settlement.step()
             return
-        if not self._holds_for_gone_routers(keeper):
+        await self._probe.step()
+        if self.keeper is not keeper or not self._holds_for_gone(keeper):
             return
         if self._clock.seconds() >= self._claim_at:
             await self._claim()
 
-    def _holds_for_gone_routers(self, keeper: ShardKeeper) -> bool:
-        gone = self.ledger.gone_holders(self._peers.listed)
+    def _holds_for_gone(self, keeper: ShardKeeper) -> bool:
+        gone = set(self.ledger.gone_holders(self._peers.listed))
+        gone |= self._probe.replaced
         return any(keeper.holds(holder) for holder in gone)
 
     async def exchange(self, message: Exchange) -> ExchangeReply:
@@ -312,6 +319,7 @@
             self._journal,
             self._peers,
         )
+        self._probe = HolderProbe(self._clock, keeper, self._peers)
         self._claims_lost = 0
         self._claim_at = self._clock.seconds() + defaults.SETTLE_EPOCH_MIN_S
         metrics.count("keeper.claims")
--- a/chicorystack/defaults.py
+++ b/chicorystack/defaults.py
@@ -77,6 +77,8 @@
 CLAIM_RETRY_MAX_S = 60.0
 # Least time between two epochs that a keeper claims for settlement.
 SETTLE_EPOCH_MIN_S = 120.0
+# Time between looks for holders that say nothing more.
+HOLDER_PROBE_S = 60.0
 # A holder that stays unreachable for so long is settled without it.
 HOLDER_LOST_S = 900.0
 # Keepers tell agents of closures directly; this finds what they missed.
--- a/tests/budget/test_settlement.py
+++ b/tests/budget/test_settlement.py
@@ -80,6 +80,18 @@
     assert view(sim)["free"] == 1000 - used(sim)
 
 
+def test_tokens_of_a_router_started_anew_come_back(sim):
+    restarted = holders(sim)[0]
+    sim.call(restarted, BUDGET, "warm", 50)
+    sim.run(3.0)
+    sim.network.kill(sim.network.process_by_name[restarted])
+    sim.add_router(restarted, f"dc-{restarted}")
+    assert view(sim)["held"] > 0
+    sim.run(2 * SETTLED_S)
+    assert view(sim)["held"] == 0
+    assert view(sim)["free"] == 1000 - used(sim)
+
+
 def test_router_paused_over_its_settlement_spends_nothing(sim):
     paused, other = holders(sim)
     sim.call(paused, BUDGET, "warm", 50)
