Share budgets ahead of use and call tokens back where another lacks them

A keeper brings each user of a budget to a share of what is unspent: half in equal shares, half by recent use; a wallet asks for more when half of its last grant is gone, before a call has to wait. Before it refuses, a keeper asks the other holders to give back half, then all, of what they hold free.

Red first, trial without the recall: test_tokens_that_another_router_holds: refused with tokens left. With it: tests/budget/test_settlement.py passes.

--- a/bench/budget_sim.py
+++ b/bench/budget_sim.py
@@ -517,10 +517,17 @@
         """Orders faults of the log service; none mends it."""
         defer.ensureDeferred(self.log.order_faults(LOG_UP | faults))
 
-    def call(self, router: str, budget: str, key: str, bound: int) -> None:
-        """Has a router make a call, trying all agents in order."""
+    def call(
+        self,
+        router: str,
+        budget: str,
+        key: str,
+        bound: int,
+        agents: list[str] | None = None,
+    ) -> None:
+        """Has a router make a call, trying agents in order."""
         node = self.router_by_name[router]
-        agents = list(self.agent_by_name)
+        agents = agents or list(self.agent_by_name)
         node.process.callLater(
             0,
             lambda: defer.ensureDeferred(node.call(budget, key, bound, agents)),
--- a/chicorystack/budget/client.py
+++ b/chicorystack/budget/client.py
@@ -224,6 +224,7 @@
         if wallet is None:
             return HolderReply(holder="")
         wallet.learn_epoch(query["epoch"])
+        wallet.recall(query.get("keep", {}))
         if wallet.has_news:
             self._start_exchange(wallet)
         return HolderReply(holder=wallet.holder)
--- a/chicorystack/budget/keeper.py
+++ b/chicorystack/budget/keeper.py
@@ -7,10 +7,12 @@
 is settled.
 """
 
+import math
 from collections import defaultdict
 from collections.abc import Iterable, Iterator
 from typing import NamedTuple
 
+from chicorystack import defaults
 from chicorystack.budget.ledger import ShardLedger
 from chicorystack.budget.messages import (
     BudgetView,
@@ -65,6 +67,9 @@
         }
         self.number_by_holder: dict[str, int] = {}
         self.giving_up: set[str] = set()
+        self._use_by_budget: defaultdict[str, dict[str, float]] = defaultdict(
+            dict
+        )
         ledger.on_bill(self._deduct_bill)
 
     @property
@@ -84,6 +89,51 @@
         state = self.ledger.budget(budget)
         return state.topped_up - state.committed + self.free(budget)
 
+    def held(self, budget: str, holder: str) -> int:
+        """Returns tokens that a holder holds."""
+        return self.held_by_budget[budget].get(holder, 0)
+
+    def unspent(self, budget: str) -> int:
+        """Returns tokens that nobody or a registered holder holds."""
+        held = sum(self.held_by_budget[budget].values())
+        return self.remaining(budget) + held
+
+    def share_of_use(self, budget: str, holder: str) -> float:
+        """Returns a holder's share of recent use, from 0 to 1."""
+        use_by_holder = self._use_by_budget[budget]
+        if not use_by_holder:
+            return 1 / self.user_count(budget)
+        return use_by_holder.get(holder, 0.0) / sum(use_by_holder.values())
+
+    def user_count(self, budget: str) -> int:
+        """Returns the number of holders that used the budget recently."""
+        users = set(self._use_by_budget[budget])
+        users |= {
+            holder
+            for holder, tokens in self.held_by_budget[budget].items()
+            if tokens
+        }
+        return max(2, len(users))
+
+    def _note_use(self, bill: Usage, holder: str) -> None:
+        """Lets older use fade as the budget is spent."""
+        topped_up = self.ledger.budget(bill.budget).topped_up
+        memory = max(1.0, topped_up * defaults.USE_MEMORY_PART)
+        kept = math.exp(-bill.tokens / memory)
+        faded = {
+            name: use * kept
+            for name, use in self._use_by_budget[bill.budget].items()
+            if use * kept >= defaults.LEAST_USE_TOKENS
+        }
+        faded[holder] = faded.get(holder, 0.0) + bill.tokens
+        self._use_by_budget[bill.budget] = faded
+
+    def others_holding(self, budget: str, holder: str) -> list[str]:
+        """Returns other holders of a budget, those that hold most first."""
+        held = self.held_by_budget[budget]
+        others = [name for name in held if name != holder and held[name] > 0]
+        return sorted(others, key=lambda name: -held[name])
+
     def grant(self, holder: str, budget: str, wanted: int) -> int:
         """Hands out tokens from those committed and free.
 
@@ -101,11 +151,18 @@
         )
         size = self._policy.grant_size(self, holder, budget, wanted)
         tokens = max(wanted, min(free, size))
+        if not tokens:
+            return 0
         held = self.held_by_budget[budget]
         held[holder] = held.get(holder, 0) + tokens
         self.check(budget)
         return tokens
 
+    def lacks_for_growth(self, holder: str, budget: str) -> bool:
+        """Tells whether more must be committed for a holder's share."""
+        size = self._policy.grant_size(self, holder, budget, 0)
+        return self.free(budget) < min(size, self.remaining(budget))
+
     def commitments(self, demands: Iterable[Demand]) -> dict[str, int]:
         """Returns the bounds to append so that demands can be met.
 
@@ -241,6 +298,7 @@
         if holder in self.number_by_holder:
             held = self.held_by_budget[bill.budget]
             held[holder] = held.get(holder, 0) - bill.tokens
+            self._note_use(bill, holder)
         else:
             self._move_from_unsettled(bill.budget, bill.tokens)
         self.check(bill.budget)
--- a/chicorystack/budget/keeper_service.py
+++ b/chicorystack/budget/keeper_service.py
@@ -16,7 +16,7 @@
     HolderReply,
 )
 from chicorystack.budget.shard_duty import ClosureFollower, ShardDuty
-from chicorystack.budget.sharing import FractionSharing, SharingPolicy
+from chicorystack.budget.sharing import MixedSharing, SharingPolicy
 from chicorystack.errors import ApiError
 from chicorystack.observe.logs import part_logger
 from chicorystack.platform.log_client import AppendPacer, LogClient
@@ -87,7 +87,7 @@
         self._live_routers = live_routers
         self._pacer = AppendPacer(reactor, lambda: len(live_routers()))
         self._peers = ListedPeers(client, vms)
-        self._policy = policy or FractionSharing()
+        self._policy = policy or MixedSharing()
         self._closures = ClosureFollower(reactor, log_client)
         self._settle_loop = task.LoopingCall(self._settle_all)
         self._settle_loop.clock = reactor
--- a/chicorystack/budget/messages.py
+++ b/chicorystack/budget/messages.py
@@ -189,6 +189,7 @@
             new to the holder, else those that have changed.
         usage: Usage not yet acknowledged.
         wanted: Least number of further tokens that helps, by budget.
+        low: Budgets of which little is left of the last grant.
     """
 
     shard: int
@@ -200,6 +201,7 @@
     held: dict[str, int]
     usage: list[Usage]
     wanted: dict[str, int]
+    low: list[str]
 
 
 class ExchangeReply(TypedDict):
@@ -231,10 +233,13 @@
     Attributes:
         shard: The shard.
         epoch: Epoch of the keeper, in which the holder should register.
+        keep: Most free tokens that the holder may keep, by budget; it gives
+            the rest back.
     """
 
     shard: int
     epoch: int
+    keep: NotRequired[dict[str, int]]
 
 
 class HolderReply(TypedDict):
--- a/chicorystack/budget/shard_duty.py
+++ b/chicorystack/budget/shard_duty.py
@@ -13,6 +13,7 @@
     CustomerReply,
     Exchange,
     ExchangeReply,
+    HolderQuery,
     KeeperClaimed,
     shard_stream,
 )
@@ -181,9 +182,11 @@
             return _reply(keeper, accepted=False, void=True)
         if not keeper.take_statement(message):
             raise ApiError("conflict", "a later exchange has been seen")
-        if self._lacks_tokens(keeper, message):
+        if self._lacking(keeper, message):
             await self._refresher.refresh()
             self._require_same(keeper)
+            await self._recall(keeper, message)
+            self._require_same(keeper)
         await self._writer.write(message)
         self._require_same(keeper)
         granted = self._grant(keeper, message)
@@ -198,20 +201,58 @@
             },
         )
 
-    def _lacks_tokens(self, keeper: ShardKeeper, message: Exchange) -> bool:
-        return any(
-            keeper.remaining(budget) < wanted
+    def _lacking(self, keeper: ShardKeeper, message: Exchange) -> list[str]:
+        return [
+            budget
             for budget, wanted in message["wanted"].items()
-        )
+            if keeper.remaining(budget) < wanted
+        ]
+
+    async def _recall(self, keeper: ShardKeeper, message: Exchange) -> None:
+        """Has other holders give back what this one lacks, where they can."""
+        # First half of what they hold, then all.
+        for divisor in (2, 0):
+            asked = False
+            for budget in self._lacking(keeper, message):
+                asked |= self._ask_back(keeper, message, budget, divisor)
+            if not asked:
+                return
+            give_up_at = self._clock.seconds() + defaults.RECALL_WAIT_S
+            while self._clock.seconds() < give_up_at:
+                await task.deferLater(self._clock, defaults.RECALL_CHECK_S)
+                if not self._lacking(keeper, message):
+                    return
+
+    def _ask_back(
+        self, keeper: ShardKeeper, message: Exchange, budget: str, divisor: int
+    ) -> bool:
+        """Asks other holders; tells whether they could hold enough."""
+        others = keeper.others_holding(budget, message["holder"])
+        others = others[: defaults.RECALL_MAX_HOLDERS]
+        held = sum(keeper.held(budget, other) for other in others)
+        if keeper.remaining(budget) + held < message["wanted"][budget]:
+            return False
+        for other in others:
+            keep = keeper.held(budget, other) // divisor if divisor else 0
+            query = HolderQuery(
+                shard=self.ledger.shard, epoch=keeper.epoch, keep={budget: keep}
+            )
+            router = self.ledger.router_by_holder.get(other, "")
+            defer.ensureDeferred(self._peers.tell_router(router, query))
+        return bool(others)
 
     def _grant(self, keeper: ShardKeeper, message: Exchange) -> dict[str, int]:
         if not keeper.is_newest(message):
             # The holder no longer waits for this answer.
             return {}
-        return {
-            budget: keeper.grant(message["holder"], budget, wanted)
+        holder = message["holder"]
+        granted = {
+            budget: keeper.grant(holder, budget, wanted)
             for budget, wanted in message["wanted"].items()
         }
+        for budget in message["low"]:
+            granted[budget] = keeper.grant(holder, budget, 0)
+        return granted
 
     async def customer(self, name: str) -> CustomerReply:
         """Returns what tells a customer's secret key.
@@ -337,11 +378,12 @@
     for budget, tokens in granted.items():
         metrics.count("keeper.granted", tokens)
         subject = f"budget:{budget}"
-        cause = f"wanted {message['wanted'][budget]}"
+        wanted = message["wanted"].get(budget, 0)
+        cause = f"wanted {wanted}"
         if tokens:
             decision = f"granted {tokens} to {message['holder']}"
             decisions.record(subject, "keeper", decision, cause)
-        else:
+        elif wanted:
             decision = f"refused {message['holder']}"
             decisions.record_notable(subject, "keeper", decision, cause)
 
--- a/chicorystack/budget/shard_writer.py
+++ b/chicorystack/budget/shard_writer.py
@@ -59,6 +59,11 @@
                 demand = Demand(holder, budget, wanted)
                 self.demand_by_place[holder, budget] = demand
                 added = True
+        for budget in message["low"]:
+            if keeper.lacks_for_growth(holder, budget):
+                demand = Demand(holder, budget, 0)
+                self.demand_by_place[holder, budget] = demand
+                added = True
         if message["wanted"] and holder not in keeper.ledger.router_by_holder:
             self.router_by_holder[holder] = message["router"]
             added = True
--- a/chicorystack/budget/wallet.py
+++ b/chicorystack/budget/wallet.py
@@ -17,6 +17,8 @@
 )
 from chicorystack.observe.invariants import require
 
+LOW_MARK_DIVISOR = 2
+
 
 class Reservation(NamedTuple):
     """Tokens set aside for one call.
@@ -46,12 +48,14 @@
         reserved: Set aside for calls in flight.
         used: Used and not yet acknowledged by the keeper.
         wanted: Least number of further tokens that helps.
+        low_mark: The keeper is asked for more when less is free.
     """
 
     free: int = 0
     reserved: int = 0
     used: int = 0
     wanted: int = 0
+    low_mark: int = 0
 
     @property
     def held(self) -> int:
@@ -114,9 +118,12 @@
         wallet = self.held(budget)
         if wallet.free < tokens:
             return None
-        self.wallet_by_budget[budget] = wallet._replace(
+        wallet = wallet._replace(
             free=wallet.free - tokens, reserved=wallet.reserved + tokens
         )
+        self.wallet_by_budget[budget] = wallet
+        if wallet.free < wallet.low_mark:
+            self._changed.add(budget)
         self._use_count += 1
         use = f"{self.holder}:{self._use_count}"
         self._open_numbers[self._use_count] = None
@@ -175,12 +182,27 @@
             held={budget: self.held(budget).held for budget in budgets},
             usage=usage,
             wanted=self._wanted(budgets),
+            low=[budget for budget in budgets if self._is_low(budget)],
         )
 
     def _wanted(self, budgets: Iterable[str]) -> dict[str, int]:
         wanted = {budget: self.held(budget).wanted for budget in budgets}
         return {budget: tokens for budget, tokens in wanted.items() if tokens}
 
+    def _is_low(self, budget: str) -> bool:
+        wallet = self.held(budget)
+        return not wallet.wanted and wallet.free < wallet.low_mark
+
+    def recall(self, keep_by_budget: dict[str, int]) -> None:
+        """Gives back what is free beyond what may be kept."""
+        for budget, keep in keep_by_budget.items():
+            wallet = self.held(budget)
+            if wallet.free > keep:
+                self.wallet_by_budget[budget] = wallet._replace(
+                    free=keep, low_mark=keep // LOW_MARK_DIVISOR
+                )
+                self._changed.add(budget)
+
     def take_reply(self, exchange: Exchange, reply: ExchangeReply) -> None:
         """Takes the keeper's answer to the newest exchange."""
         if exchange["holder"] != self.holder:
@@ -197,11 +219,11 @@
             self._must_state_all = False
         for run in exchange["usage"]:
             self._acknowledge(run, refunded=run.use in reply["refunded"])
-        for budget in exchange["wanted"]:
+        for budget in (*exchange["wanted"], *exchange["low"]):
             wallet = self.held(budget)
-            granted = reply["granted"].get(budget, 0)
+            free = wallet.free + reply["granted"].get(budget, 0)
             self.wallet_by_budget[budget] = wallet._replace(
-                free=wallet.free + granted, wanted=0
+                free=free, wanted=0, low_mark=free // LOW_MARK_DIVISOR
             )
 
     def learn_epoch(self, epoch: int) -> None:
--- a/chicorystack/defaults.py
+++ b/chicorystack/defaults.py
@@ -71,6 +71,14 @@
 # Appends a second of all keepers together.
 KEEPER_APPENDS_PER_S = 200
 
+# Part of a budget over which a router's recent use fades.
+USE_MEMORY_PART = 0.05
+LEAST_USE_TOKENS = 1.0
+# Most holders that are asked to give tokens back for another's call.
+RECALL_MAX_HOLDERS = 8
+RECALL_WAIT_S = 0.4
+RECALL_CHECK_S = 0.02
+
 # Settlement of what gone routers held.
 SETTLE_INTERVAL_S = 1.0
 CLAIM_RETRY_INITIAL_S = 1.0
--- a/tests/budget/test_settlement.py
+++ b/tests/budget/test_settlement.py
@@ -166,6 +166,21 @@
     assert used(sim) <= 1000
 
 
+def test_tokens_that_another_router_holds_are_called_back(sim):
+    first, second = holders(sim)
+    sim.call(first, BUDGET, "warm", 50)
+    sim.run(3.0)
+    assert sim.router_by_name[first].budgets.wallet(SHARD).held(BUDGET).free
+    for number in range(200):
+        left = 1000 - used(sim)
+        if left < 20:
+            break
+        sim.call(second, BUDGET, f"next-{number}", 20)
+        sim.run(3.0)
+        assert sim.outcomes[-1].code == "done", left
+    assert used(sim) > 980
+
+
 def test_top_up_just_appended_is_not_refused(sim):
     router = holders(sim)[0]
     spend_all(sim, router, "all")
