Ask for what a call lacks, not for all that it needs

A router that held part of a call's bound asked the keeper for the whole and was refused at the end of a budget though the two together could pay.

--- a/chicorystack/budget/client.py
+++ b/chicorystack/budget/client.py
@@ -152,20 +152,21 @@
                 return reservation
             if self._reactor.seconds() >= deadline:
                 raise _unreachable()
-            wallet.want(budget, tokens)
-            await self._await_exchange(wallet, budget, tokens, deadline)
+            lacking = tokens - wallet.held(budget).free
+            wallet.want(budget, lacking)
+            await self._await_exchange(wallet, budget, lacking, deadline)
 
     async def _await_exchange(
-        self, wallet: ShardWallet, budget: str, tokens: int, deadline: float
+        self, wallet: ShardWallet, budget: str, lacking: int, deadline: float
     ) -> None:
         reply = await self._await_any_exchange(wallet, deadline)
         if reply is None or budget not in reply["remaining"]:
             return
         granted = reply["granted"].get(budget, 0)
-        if granted == 0 and reply["remaining"][budget] < tokens:
+        if granted == 0 and reply["remaining"][budget] < lacking:
             raise ApiError(
                 "budget_exhausted",
-                f"the budget can't pay the {tokens} tokens this may need",
+                f"the budget lacks {lacking} tokens that the call may need",
                 retry_after_ms=defaults.BUDGET_RETRY_AFTER_MS,
             )
 
