--- a/bench/budget_sim.py
+++ b/bench/budget_sim.py
@@ -27,6 +27,7 @@
     Usage,
     shard_stream,
 )
+from chicorystack.budget.snapshot import LedgerReader
 from chicorystack.budget.wallet import Reservation
 from chicorystack.calls.messages import CallHeader
 from chicorystack.errors import ApiError
@@ -316,7 +317,8 @@
             f"http://{process.name}",
             sim.live_routers,
             lambda: sim.vm_by_name,
-            *([policy] if policy else []),
+            policy,
+            sim.retention_s,
         )
         process.handler_by_path = {
             "keeper/exchange": (Exchange, self.keeper.handle_exchange),
@@ -424,13 +426,14 @@
         bill_by_key: All bills that the observer has seen.
     """
 
-    def __init__(self, policy=None):
+    def __init__(self, policy=None, retention_s: float = RETENTION_S):
         self._policy = policy
+        self.retention_s = retention_s
         self._audited = 0
         self.clock = task.Clock()
         self.clock.advance(1000.0)
         self.network = Network(self.clock)
-        self.log = LogService(self.clock, RETENTION_S)
+        self.log = LogService(self.clock, retention_s)
         self.vm_by_name: dict[str, Vm] = {}
         self.router_by_name: dict[str, RouterNode] = {}
         self.agent_by_name: dict[str, AgentNode] = {}
@@ -439,6 +442,7 @@
             defaultdict(dict)
         )
         self.audit = ShardLedger(SHARD)
+        self._audit_reader = LedgerReader(self.audit)
         self.audit.on_bill(self._note_bill)
         self.bill_by_key: dict[str, Usage] = {}
         self.double_bills: list[Usage] = []
@@ -557,9 +561,10 @@
     def read_audit(self) -> None:
         """Reads the shard's stream as an observer."""
         entries = self.log.entries(shard_stream(SHARD))
-        for entry in entries[self._audited :]:
-            self.audit.apply(entry)
-        self._audited = len(entries)
+        for entry in entries:
+            if entry["offset"] >= self._audited:
+                self._audit_reader.deliver(entry)
+                self._audited = entry["offset"] + 1
 
     def _note_bill(self, bill: Usage) -> None:
         if bill.key in self.bill_by_key:
--- a/chicorystack/budget/closures.py
+++ b/chicorystack/budget/closures.py
@@ -11,8 +11,11 @@
 
 from chicorystack.budget.messages import RecordHead, Usage
 from chicorystack.platform.messages import LogEntry
+from chicorystack.util import new_id
 
 CLOSURES_STREAM = "closures"
+# Stands for all agents whose records are not known any more.
+EXPIRED = "those whose records have expired"
 
 
 class EpochClosed(TypedDict):
@@ -31,6 +34,13 @@
     epoch: int
 
 
+def epoch_closed(shard: int, epoch: int) -> EpochClosed:
+    """Returns a record that closes a shard's epochs up to one."""
+    return EpochClosed(
+        kind="epoch_closed", id=new_id(), shard=shard, epoch=epoch
+    )
+
+
 class AgentStarted(TypedDict):
     """Says that an agent is there; appended again well before it expires.
 
@@ -129,12 +139,16 @@
         closed_by_shard: Newest closed epoch by shard.
         incarnation_by_target: Present life of each agent.
         lost_by_incarnation: Agents' lives that ended with their memory.
+        complete_from: Offset from which on no record is missing; those before
+            had expired when they were to be read.
     """
 
     def __init__(self):
         self.closed_by_shard: dict[int, int] = {}
         self.incarnation_by_target: dict[str, str] = {}
         self.lost_by_incarnation: dict[str, LostAgent] = {}
+        self.complete_from = 0
+        self._next_offset = 0
         self._apply_by_kind = {
             "epoch_closed": self._apply_closed,
             "agent_started": self._apply_started,
@@ -143,6 +157,9 @@
 
     def apply(self, entry: LogEntry) -> None:
         """Takes the next entry of the stream."""
+        if entry["offset"] != self._next_offset:
+            self.complete_from = entry["offset"]
+        self._next_offset = entry["offset"] + 1
         raw = entry["record"]
         kind = msgspec.json.decode(raw, type=RecordHead)["kind"]
         record = msgspec.json.decode(raw, type=RECORD_TYPE_BY_KIND[kind])
@@ -155,6 +172,8 @@
 
     def lost_since(self, offset: int) -> list[str]:
         """Returns targets whose agents' memory was lost after an offset."""
+        if offset < self.complete_from:
+            return [EXPIRED]
         lost = self.lost_by_incarnation.values()
         return sorted({life.target for life in lost if life.offset >= offset})
 
--- a/chicorystack/budget/keeper_service.py
+++ b/chicorystack/budget/keeper_service.py
@@ -79,6 +79,7 @@
         live_routers: Callable[[], dict[str, str]],
         vms: Callable[[], dict[str, Vm]],
         policy: SharingPolicy | None = None,
+        log_retention_s: float = defaults.LOG_RETENTION_S,
     ):
         self._reactor = reactor
         self._log_client = log_client
@@ -87,6 +88,7 @@
         self._live_routers = live_routers
         self._pacer = AppendPacer(reactor, lambda: len(live_routers()))
         self._peers = ListedPeers(client, vms)
+        self._log_retention_s = log_retention_s
         self._policy = policy or MixedSharing()
         self._closures = ClosureFollower(reactor, log_client)
         self._settle_loop = task.LoopingCall(self._settle_all)
@@ -118,6 +120,7 @@
                 self._router,
                 self._url,
                 self._policy,
+                self._log_retention_s,
             )
         claiming = defer.ensureDeferred(self.duty_by_shard[shard].claim())
         claiming.addErrback(_log_failure, shard)
--- a/chicorystack/budget/ledger.py
+++ b/chicorystack/budget/ledger.py
@@ -1,7 +1,7 @@
 """Folds a shard's stream into its state: the same at every reader."""
 
 from collections.abc import Callable
-from typing import NamedTuple
+from typing import NamedTuple, TypedDict
 
 from chicorystack import defaults
 from chicorystack.budget.messages import (
@@ -51,6 +51,51 @@
     use: str
 
 
+class LedgerState(TypedDict):
+    """All that a fold holds; fields as in ShardLedger.
+
+    Attributes:
+        last_number: Number of the newest record of the epoch.
+        window_time: Position of the newest entry in the window of bills, in
+            seconds.
+        last_time: Log time of the newest entry.
+        time_by_operator_record: Log times of operators' records, by id.
+    """
+
+    epoch: int
+    claim: KeeperClaimed | None
+    budget_by_id: dict[str, BudgetState]
+    customer_by_name: dict[str, CustomerCreated]
+    bill_by_key: dict[str, BillMark]
+    router_by_holder: dict[str, str]
+    void_holders: list[str]
+    settled_epoch: int
+    closures_offset_by_epoch: dict[int, int]
+    stranded_reason: str
+    last_number: int
+    window_time: float
+    last_time: float
+    time_by_operator_record: dict[str, float]
+
+
+EMPTY_STATE = LedgerState(
+    epoch=0,
+    claim=None,
+    budget_by_id={},
+    customer_by_name={},
+    bill_by_key={},
+    router_by_holder={},
+    void_holders=[],
+    settled_epoch=0,
+    closures_offset_by_epoch={},
+    stranded_reason="",
+    last_number=0,
+    window_time=0.0,
+    last_time=0.0,
+    time_by_operator_record={},
+)
+
+
 class ShardLedger:
     """The state of one shard, as far as its stream has been read.
 
@@ -71,20 +116,6 @@
 
     def __init__(self, shard: int):
         self.shard = shard
-        self.epoch = 0
-        self.claim: KeeperClaimed | None = None
-        self.budget_by_id: dict[str, BudgetState] = {}
-        self.customer_by_name: dict[str, CustomerCreated] = {}
-        self.bill_by_key: dict[str, BillMark] = {}
-        self.router_by_holder: dict[str, str] = {}
-        self.void_holders: list[str] = []
-        self.settled_epoch = 0
-        self.closures_offset_by_epoch: dict[int, int] = {}
-        self.stranded_reason = ""
-        self._last_number = 0
-        self._window_time = 0.0
-        self._last_time = 0.0
-        self._operator_record_ids: set[str] = set()
         self._bill_listener: Callable[[Usage], None] | None = None
         self._apply_by_kind = {
             "customer_created": self._apply_customer,
@@ -93,12 +124,54 @@
             "ledger_batch": self._apply_batch,
             "epoch_settled": self._apply_settled,
         }
+        self.clear()
+
+    def clear(self) -> None:
+        """Forgets all; the listener stays."""
+        self.load(EMPTY_STATE)
+
+    def load(self, state: "LedgerState") -> None:
+        """Takes over a state."""
+        self.epoch = state["epoch"]
+        self.claim = state["claim"]
+        self.budget_by_id = dict(state["budget_by_id"])
+        self.customer_by_name = dict(state["customer_by_name"])
+        self.bill_by_key = dict(state["bill_by_key"])
+        self.router_by_holder = dict(state["router_by_holder"])
+        self.void_holders = list(state["void_holders"])
+        self.settled_epoch = state["settled_epoch"]
+        self.closures_offset_by_epoch = dict(state["closures_offset_by_epoch"])
+        self.stranded_reason = state["stranded_reason"]
+        self._last_number = state["last_number"]
+        self._window_time = state["window_time"]
+        self._last_time = state["last_time"]
+        self._time_by_operator_record = dict(state["time_by_operator_record"])
+
+    def state(self) -> "LedgerState":
+        """Returns all that the fold holds, for a snapshot."""
+        return LedgerState(
+            epoch=self.epoch,
+            claim=self.claim,
+            budget_by_id=self.budget_by_id,
+            customer_by_name=self.customer_by_name,
+            bill_by_key=self.bill_by_key,
+            router_by_holder=self.router_by_holder,
+            void_holders=self.void_holders,
+            settled_epoch=self.settled_epoch,
+            closures_offset_by_epoch=self.closures_offset_by_epoch,
+            stranded_reason=self.stranded_reason,
+            last_number=self._last_number,
+            window_time=self._window_time,
+            last_time=self._last_time,
+            time_by_operator_record=self._time_by_operator_record,
+        )
 
     def apply(self, entry: LogEntry) -> None:
         """Takes the next entry of the stream."""
         record = decode_record(entry["record"])
         self._advance_window(entry["time"])
         self._forget_old_bills()
+        self._forget_old_operator_records()
         self._apply_by_kind[record["kind"]](record)
 
     def on_bill(self, listener: Callable[[Usage], None] | None) -> None:
@@ -127,11 +200,19 @@
 
     def _is_repeated(self, record: CustomerCreated | ToppedUp) -> bool:
         """Tells whether an operator's record has been seen before."""
-        if record["id"] in self._operator_record_ids:
+        if record["id"] in self._time_by_operator_record:
             return True
-        self._operator_record_ids.add(record["id"])
+        self._time_by_operator_record[record["id"]] = self._last_time
         return False
 
+    def _forget_old_operator_records(self) -> None:
+        oldest = self._last_time - defaults.OPERATOR_RECORD_WINDOW_S
+        while self._time_by_operator_record:
+            record_id = next(iter(self._time_by_operator_record))
+            if self._time_by_operator_record[record_id] > oldest:
+                return
+            del self._time_by_operator_record[record_id]
+
     def _apply_customer(self, record: CustomerCreated) -> None:
         if self._is_repeated(record):
             return
--- a/chicorystack/budget/settlement.py
+++ b/chicorystack/budget/settlement.py
@@ -16,7 +16,7 @@
     ClosingQuery,
     ClosingReply,
     ClosureLedger,
-    EpochClosed,
+    epoch_closed,
 )
 from chicorystack.budget.keeper import ShardKeeper
 from chicorystack.budget.messages import HolderQuery, Usage
@@ -275,9 +275,7 @@
         shard, epoch = self._keeper.ledger.shard, self._keeper.epoch - 1
         if self._closures.closed_by_shard.get(shard, 0) >= epoch:
             return
-        record = EpochClosed(
-            kind="epoch_closed", id=new_id(), shard=shard, epoch=epoch
-        )
+        record = epoch_closed(shard, epoch)
         await self._journal.append_and_read(CLOSURES_STREAM, lambda: record)
 
     async def _ask_agents(self) -> dict[str, ClosingReply]:
--- a/chicorystack/budget/shard_duty.py
+++ b/chicorystack/budget/shard_duty.py
@@ -5,7 +5,11 @@
 from twisted.internet import defer, task
 
 from chicorystack import defaults
-from chicorystack.budget.closures import CLOSURES_STREAM, ClosureLedger
+from chicorystack.budget.closures import (
+    CLOSURES_STREAM,
+    ClosureLedger,
+    epoch_closed,
+)
 from chicorystack.budget.keeper import ShardKeeper
 from chicorystack.budget.ledger import ShardLedger
 from chicorystack.budget.messages import (
@@ -24,6 +28,7 @@
 )
 from chicorystack.budget.shard_writer import ShardWriter
 from chicorystack.budget.sharing import SharingPolicy
+from chicorystack.budget.snapshot import LedgerReader, snapshot_records
 from chicorystack.errors import ApiError
 from chicorystack.observe.decisions import decisions
 from chicorystack.observe.logs import part_logger
@@ -105,8 +110,13 @@
         router: str,
         url: str,
         policy: SharingPolicy,
+        log_retention_s: float,
     ):
         self._clock = reactor
+        self._snapshot_interval_s = (
+            log_retention_s / defaults.SNAPSHOT_RETENTION_DIVISOR
+        )
+        self._snapshot_at = 0.0
         self._router = router
         self._url = url
         self._policy = policy
@@ -128,6 +138,7 @@
         self._claim_at = 0.0
         self._claims_lost = 0
         self.ledger = ShardLedger(shard)
+        self._reader = LedgerReader(self.ledger)
         self.keeper: ShardKeeper | None = None
         self._follower.start()
 
@@ -159,11 +170,28 @@
             await self._settlement.step()
             return
         await self._probe.step()
+        await self._keep()
         if self.keeper is not keeper or not self._holds_for_gone(keeper):
             return
         if self._clock.seconds() >= self._claim_at:
             await self._claim()
 
+    async def _keep(self) -> None:
+        """Appends a snapshot before older records expire."""
+        if self._clock.seconds() < self._snapshot_at:
+            return
+        self._snapshot_at += self._snapshot_interval_s
+        read_to = self._follower.next_offset
+        for record in snapshot_records(self.ledger, read_to):
+            await self._journal.append_and_read(
+                self._stream, lambda record=record: record
+            )
+        closed = self._closures.ledger.closed_by_shard.get(self.ledger.shard)
+        if closed is not None:
+            again = epoch_closed(self.ledger.shard, closed)
+            await self._journal.append_and_read(CLOSURES_STREAM, lambda: again)
+        log.info("shard {}: snapshot up to {}", self.ledger.shard, read_to)
+
     def _holds_for_gone(self, keeper: ShardKeeper) -> bool:
         gone = set(self.ledger.gone_holders(self._peers.listed))
         gone |= self._probe.replaced
@@ -297,7 +325,7 @@
             raise ApiError("not_keeper", "the shard's epoch has ended")
 
     def _deliver(self, entry) -> None:
-        self.ledger.apply(entry)
+        self._reader.deliver(entry)
         if self.keeper is None or self.keeper.in_force:
             return
         self.keeper = None
@@ -324,7 +352,7 @@
 
     async def _claim(self) -> None:
         ready = self._follower.caught_up and self._closures.follower.caught_up
-        if self._claiming or not ready:
+        if self._claiming or not ready or not self._reader.based:
             return
         self._claiming = True
         try:
@@ -361,6 +389,10 @@
             self._peers,
         )
         self._probe = HolderProbe(self._clock, keeper, self._peers)
+        # The age of what the stream still has, by the log's own clock.
+        age_s = self._reader.time - self._reader.kept_since
+        wait_s = max(0.0, self._snapshot_interval_s - age_s)
+        self._snapshot_at = self._clock.seconds() + wait_s
         self._claims_lost = 0
         self._claim_at = self._clock.seconds() + defaults.SETTLE_EPOCH_MIN_S
         metrics.count("keeper.claims")
--- a/chicorystack/defaults.py
+++ b/chicorystack/defaults.py
@@ -56,6 +56,11 @@
 CONFIG_WINNERS_KEPT = 1_000
 
 # Budgets.
+# How long a repeated id of a top-up or customer is told.
+OPERATOR_RECORD_WINDOW_S = 30 * 86_400.0
+SNAPSHOT_PART_CHARS = 200_000
+# A snapshot is due after this part of the log's retention.
+SNAPSHOT_RETENTION_DIVISOR = 4
 DEFAULT_BUDGET = "main"
 SHARD_COUNT = 4
 USAGE_REPORT_INTERVAL_S = 0.2
--- a/chicorystack/router/main.py
+++ b/chicorystack/router/main.py
@@ -81,6 +81,7 @@
             own_url,
             self._live_routers,
             lambda: self._vm_list.vm_by_name,
+            log_retention_s=settings.log_retention_s,
         )
         self._review_loop = task.LoopingCall(self._review_shards)
         locator = KeeperLocator(reactor, self._client, self._live_routers)
