--- a/chicorystack/agent/service_calls.py
+++ b/chicorystack/agent/service_calls.py
@@ -5,9 +5,9 @@
 
 from chicorystack.agent.answers import send_answer
 from chicorystack.agent.target_client import TargetClient, TargetFailedError
+from chicorystack.agent.usage_table import AgentUsage
 from chicorystack.calls.messages import CallHeader
 from chicorystack.calls.run_table import KeptAnswer, RunTable, body_hash
-from chicorystack.calls.usage_table import UsageTable
 from chicorystack.errors import ApiError
 from chicorystack.observe.decisions import decisions
 from chicorystack.observe.logs import part_logger
@@ -23,7 +23,7 @@
     """
 
     def __init__(
-        self, clock, target: TargetClient, runs: RunTable, usage: UsageTable
+        self, clock, target: TargetClient, runs: RunTable, usage: AgentUsage
     ):
         self._clock = clock
         self._target = target
@@ -35,7 +35,7 @@
         self, request: server.Request, call: CallHeader
     ) -> None:
         """Runs a call that may be repeated."""
-        self._usage.begin(call["use"])
+        self._usage.begin(call)
         answer = await self._run(call, _body(request))
         send_answer(request, call, answer, self.in_flight)
 
@@ -65,14 +65,14 @@
 
     def _begin(self, call: CallHeader, content: str) -> bool:
         """Marks a call and its use as started; False where it is known."""
-        self._usage.begin(call["use"])
+        self._usage.begin(call)
         try:
             started = self._runs.begin(call, content)
         except ApiError:
-            self._usage.end(call["use"], 0)
+            self._usage.end(call, 0)
             raise
         if not started:
-            self._usage.end(call["use"], 0)
+            self._usage.end(call, 0)
         return started
 
     async def _answer_in_time(self, call: CallHeader) -> KeptAnswer:
@@ -105,7 +105,7 @@
             raise ApiError("target_failed", str(error)) from error
         finally:
             self.in_flight -= 1
-            self._usage.end(call["use"], used)
+            self._usage.end(call, used)
         return KeptAnswer(status, answer, call["cost_tokens"], call["use"])
 
 
--- a/chicorystack/defaults.py
+++ b/chicorystack/defaults.py
@@ -32,6 +32,10 @@
 # Least time that the owner of a key gets to say what became of it.
 REFUSAL_TIMEOUT_S = 2.0
 
+# How long bills are remembered; longer than any process reports usage.
+BILL_WINDOW_S = 1_800.0
+BILL_WINDOW_MAX_STEP_S = 10.0
+
 # Platform.
 LOG_READ_WAIT_MS = 2_000
 LOG_READ_LIMIT = 500
@@ -64,6 +68,11 @@
 CONFIG_WINNERS_KEPT = 1_000
 
 # Budgets.
+# How long a repeated id of a top-up or customer is told.
+OPERATOR_RECORD_WINDOW_S = 30 * 86_400.0
+SNAPSHOT_PART_CHARS = 200_000
+# A snapshot is due after this part of the log's retention.
+SNAPSHOT_RETENTION_DIVISOR = 4
 DEFAULT_BUDGET = "main"
 SHARD_COUNT = 4
 USAGE_REPORT_INTERVAL_S = 0.2
@@ -72,7 +81,37 @@
 KEEPER_SEARCH_S = 2.0
 KEEPER_SEARCH_PAUSE_S = 0.1
 BUDGET_RETRY_AFTER_MS = 60_000
+# How long a stopping router tries to give its tokens back.
 HAND_BACK_S = 5.0
+# Least time between two reads to the end of a stream before a refusal.
+REFRESH_MIN_S = 0.25
+# Appends a second of all keepers together.
+KEEPER_APPENDS_PER_S = 200
+
+# Part of a budget over which a router's recent use fades.
+USE_MEMORY_PART = 0.05
+LEAST_USE_TOKENS = 1.0
+# Most holders that are asked to give tokens back for another's call.
+RECALL_MAX_HOLDERS = 8
+RECALL_WAIT_S = 0.4
+RECALL_CHECK_S = 0.02
+
+# Settlement of what gone routers held.
+SETTLE_INTERVAL_S = 1.0
+CLAIM_RETRY_INITIAL_S = 1.0
+CLAIM_RETRY_MAX_S = 60.0
+# Least time between two epochs that a keeper claims for settlement.
+SETTLE_EPOCH_MIN_S = 120.0
+# Time between looks for holders that say nothing more.
+HOLDER_PROBE_S = 60.0
+# A holder that stays unreachable for so long is settled without it.
+HOLDER_LOST_S = 900.0
+# Keepers tell agents of closures directly; this finds what they missed.
+CLOSURES_READ_PAUSE_S = 30.0
+AGENT_PRESENT_INTERVAL_S = 21_600.0
+# Usage older than this may have been billed and forgotten.
+USAGE_BILLABLE_S = 1_200.0
+USAGE_TABLE_MAX_ENTRIES = 20_000
 
 # Agents.
 LOAD_REPORT_INTERVAL_S = 0.5
