Explain the outcome done, kept answers and codes of later versions

A refusal with a code that this version does not know raised KeyError, so that an agent of a later version turned every such refusal into a 500 without its outcome; it is passed on now.

--- a/chicorystack/agent/generations.py
+++ b/chicorystack/agent/generations.py
@@ -26,6 +26,7 @@
 from chicorystack.calls.run_table import KeptAnswer, body_hash
 from chicorystack.calls.usage_table import UsageTable
 from chicorystack.errors import ApiError
+from chicorystack.observe.decisions import decisions
 from chicorystack.observe.logs import part_logger
 from chicorystack.web.server import read_body
 
@@ -54,6 +55,9 @@
         content = body_hash(call["operation"], msgspec.json.encode(body))
         answer = self._kept.find(call, content)
         if answer is not None:
+            decisions.record(
+                call["key"], "kept", "not run again; kept answer", answer.use
+            )
             self._begin_answer(request, call, answer.use)
             request.write(answer.body)
             _finish(request, answer.tokens)
--- a/chicorystack/errors.py
+++ b/chicorystack/errors.py
@@ -89,8 +89,11 @@
 
     @property
     def status(self) -> int:
-        """The HTTP status that goes with the code."""
-        return STATUS_BY_CODE[self.code]
+        """The HTTP status that goes with the code.
+
+        A peer of a later version may send a code that is unknown here.
+        """
+        return STATUS_BY_CODE.get(self.code, STATUS_BY_CODE["internal"])
 
     def reply(self) -> ErrorReply:
         """Returns the JSON body for this refusal."""
--- a/tests/observe/test_pages.py
+++ b/tests/observe/test_pages.py
@@ -2,11 +2,12 @@
 
 import re
 from pathlib import Path
+from typing import get_args
 
 import pytest
 
 from chicorystack.ctl.main import Ctl
-from chicorystack.errors import STATUS_BY_CODE
+from chicorystack.errors import STATUS_BY_CODE, Outcome
 from chicorystack.observe.metrics import METRIC_BY_NAME
 
 ROOT = Path(__file__).parents[2]
@@ -20,6 +21,11 @@
     assert rows == [str(STATUS_BY_CODE[code])]
 
 
+@pytest.mark.parametrize("outcome", get_args(Outcome))
+def test_every_outcome_is_explained_to_callers(outcome):
+    assert re.search(rf"^\| `{outcome}` \| .+ \| .+ \|$", API, re.M)
+
+
 @pytest.mark.parametrize("name", METRIC_BY_NAME)
 def test_every_metric_is_listed(name):
     metric = METRIC_BY_NAME[name]
