Tell what became of a top-up whose id is known, or whose answer was lost

Cause: an id that stood for another top-up of the same shard was ignored by the ledger while the command said 'added'. Where the log gave no answer, the command said 'not reachable' without the id that a safe repetition needs. Change: the command looks for the id in the stream before and after it appends; a change without an answer names its id. A version to replace that is not there is refused before anything is appended. Before: 'top_up alpha 2000 --id=t1' after 1000 under t1 printed 'added 2000 tokens', and the budget stayed at 1000.

--- a/chicorystack/ctl/configuration.py
+++ b/chicorystack/ctl/configuration.py
@@ -50,6 +50,10 @@
     in_force = store.config.version
     if replaces is None:
         replaces = in_force
+    if not 0 <= replaces <= in_force:
+        raise CommandError(
+            f"there is no version {replaces}; version {in_force} is in force"
+        )
     if (
         in_force
         and config.get("shards", defaults.SHARD_COUNT)
--- a/chicorystack/ctl/customers.py
+++ b/chicorystack/ctl/customers.py
@@ -8,6 +8,7 @@
     BudgetsReply,
     CustomerCreated,
     ToppedUp,
+    decode_record,
     shard_stream,
 )
 from chicorystack.ctl.session import CommandError, Session
@@ -27,12 +28,22 @@
 
 
 class TopUp(TypedDict):
-    """A top-up that stands in the log."""
+    """A top-up that stands in the log.
+
+    Attributes:
+        customer: Name of the customer.
+        budget: Name of the budget.
+        tokens: Number of tokens.
+        id: Id of the top-up.
+        added: Whether they were added now; False where the same top-up had
+            been counted before.
+    """
 
     customer: str
     budget: str
     tokens: int
     id: str
+    added: bool
 
 
 async def create(session: Session, customer: str) -> NewCustomer:
@@ -56,7 +67,11 @@
 async def top_up(
     session: Session, customer: str, tokens: int, budget: str, top_up_id: str
 ) -> TopUp:
-    """Adds tokens to a budget; the same id counts once."""
+    """Adds tokens to a budget; the same id counts once.
+
+    Raises:
+        CommandError: If the id stands for another top-up.
+    """
     _check_name(customer)
     _check_name(budget)
     if tokens <= 0:
@@ -70,12 +85,56 @@
         operator=session.settings.operator,
     )
     stream = await _stream_of(session, customer)
-    await session.append(stream, record)
+    known = await _find_top_up(session, stream, record["id"])
+    if known is None:
+        await session.append(stream, record)
+        # Another operator may have used the id a moment before.
+        known_now = await _find_top_up(session, stream, record["id"])
+        _check_same(known_now or record, record)
+    else:
+        _check_same(known, record)
     return TopUp(
-        customer=customer, budget=budget, tokens=tokens, id=record["id"]
+        customer=customer,
+        budget=budget,
+        tokens=tokens,
+        id=record["id"],
+        added=known is None,
     )
 
 
+async def _find_top_up(
+    session: Session, stream: str, top_up_id: str
+) -> ToppedUp | None:
+    """Returns the first top-up with an id, which is the one that counts."""
+    for entry in await session.read_stream(stream):
+        record = decode_record(entry["record"])
+        if record["kind"] == "topped_up" and record["id"] == top_up_id:
+            return record
+    return None
+
+
+def _check_same(known: ToppedUp, wanted: ToppedUp) -> None:
+    if _what(known) != _what(wanted):
+        raise CommandError(
+            f"the id {wanted['id']} stands for another top-up, "
+            f"{_what(known)}; nothing was added"
+        )
+
+
+def _what(record: ToppedUp) -> str:
+    budget = f"{record['customer']}/{record['budget']}"
+    return f"{record['tokens']} tokens to {budget}"
+
+
+def print_top_up(result: TopUp) -> str:
+    """Returns a top-up as text for people."""
+    what = f"{result['tokens']} tokens to {result['customer']}/"
+    what += result["budget"]
+    if result["added"]:
+        return f"added {what} (id {result['id']})"
+    return f"{what}: counted before under the id {result['id']}; nothing added"
+
+
 async def budgets(session: Session, customer: str) -> BudgetsReply:
     """Returns a customer's budgets as their keeper sees them."""
     shard = shard_of(customer, await _shard_count(session))
--- a/chicorystack/ctl/main.py
+++ b/chicorystack/ctl/main.py
@@ -96,7 +96,7 @@
             lambda session: customers.top_up(
                 session, customer, tokens, budget, id
             ),
-            lambda result: f"added {tokens} tokens to {customer}/{budget}",
+            customers.print_top_up,
         )
 
     @typed_command
--- a/chicorystack/ctl/session.py
+++ b/chicorystack/ctl/session.py
@@ -10,7 +10,8 @@
 
 from chicorystack import defaults
 from chicorystack.budget.client import KeeperLocator, KeeperUnreachableError
-from chicorystack.config.messages import CONFIG_STREAM
+from chicorystack.budget.messages import CustomerCreated, ToppedUp
+from chicorystack.config.messages import CONFIG_STREAM, ConfigRecord
 from chicorystack.config.store import ConfigStore
 from chicorystack.errors import ApiError, UserError
 from chicorystack.observe.logs import setup_logs
@@ -22,6 +23,8 @@
 
 ResultT = TypeVar("ResultT")
 
+Record = ConfigRecord | CustomerCreated | ToppedUp
+
 
 class CommandError(UserError):
     """A command could not be carried out."""
@@ -52,17 +55,23 @@
             if offset >= page["end_offset"]:
                 return entries
 
-    async def append(self, stream: str, record: object) -> int:
+    async def append(self, stream: str, record: Record) -> int:
         """Appends a record and returns its offset.
 
         Raises:
-            UnreachableError: If no answer came in time; the record carries
-                an id, so that the command may be given again.
+            CommandError: If no answer came in time; the record may have been
+                appended, and carries an id, so that it may be sent again.
         """
         give_up_at = reactor.seconds() + defaults.COMMAND_TIMEOUT_S
-        return await self.log.append_until_acknowledged(
-            stream, record, give_up_at
-        )
+        try:
+            return await self.log.append_until_acknowledged(
+                stream, record, give_up_at
+            )
+        except UnreachableError as error:
+            raise CommandError(
+                "the log gave no answer in time, and the change may have "
+                f"taken effect; its id is {record['id']}: {error}"
+            ) from error
 
     async def read_config(self) -> ConfigStore:
         """Returns the configuration as the log has it."""
--- a/tests/ctl/test_fleet_commands.py
+++ b/tests/ctl/test_fleet_commands.py
@@ -1,6 +1,7 @@
 """Operators' commands against a running fleet; nothing secret in its logs."""
 
 import os
+import re
 import subprocess
 from pathlib import Path
 
@@ -104,14 +105,14 @@
 
 
 def test_audit_shows_changes_and_the_publication_that_lost(fleet, secret):
-    fleet.ctl("top_up", "alpha", "1000", "--id=t1")
+    assert fleet.ctl("top_up", "alpha", "7", "--id=t7")["added"] is True
     with pytest.raises(FleetError):
         fleet.ctl("publish", str(EXAMPLE), "--replaces=0")
     text = people(fleet, "audit")
     assert "demo: publish configuration: version 0 -> version 1" in text
     assert "version 1 (came second)" in text
     assert "top up alpha/main: 0 tokens -> 1000 tokens" in text
-    assert "1000 tokens (sent again)" in text
+    assert "top up alpha/main: 1000 tokens -> 1007 tokens" in text
     assert "router-1: keep shard-" in text
     assert secret.rpartition(".")[2] not in text
     own = fleet.ctl("audit", "--customer=alpha")
@@ -121,6 +122,39 @@
     }
 
 
+def test_top_up_sent_again_is_told_and_adds_nothing(fleet, secret):
+    again = people(fleet, "top_up", "alpha", "1000", "--id=t1")
+    assert "counted before under the id t1; nothing added" in again
+    with pytest.raises(FleetError, match="t1 stands for another top-up, 1000"):
+        fleet.ctl("top_up", "alpha", "2000", "--id=t1")
+
+
+def test_top_up_whose_answers_are_lost_names_its_id(fleet, secret):
+    before = fleet.ctl("budget", "alpha")["budgets"][0]["topped_up"]
+    order_lost_answers(fleet, 1_000)
+    try:
+        with pytest.raises(FleetError, match="may have taken") as caught:
+            fleet.ctl("top_up", "alpha", "11")
+    finally:
+        order_lost_answers(fleet, 0)
+    top_up_id = re.search(r"its id is (\S+):", str(caught.value)).group(1)
+    again = fleet.ctl("top_up", "alpha", "11", f"--id={top_up_id}")
+    assert again["added"] is False
+    after = fleet.ctl("budget", "alpha")["budgets"][0]["topped_up"]
+    assert after == before + 11
+
+
+def order_lost_answers(fleet, count):
+    faults = {"down": False, "delay_s": 0.0, "lose_answers": count}
+    reply = send(fleet.ports["log"], "POST", "/faults", faults)
+    assert reply.status == 200
+
+
+def test_version_that_is_not_there_is_refused(fleet, secret):
+    with pytest.raises(FleetError, match="there is no version 9"):
+        fleet.ctl("publish", str(EXAMPLE), "--replaces=9")
+
+
 def test_word_too_many_changes_nothing(fleet, secret):
     before = fleet.ctl("budget", "alpha")["budgets"][0]["topped_up"]
     with pytest.raises(FleetError, match="unknown argument: 5"):
