--- a/chicorystack/web/channel.py
+++ b/chicorystack/web/channel.py
@@ -143,7 +143,7 @@
     """Serves a tree of resources to a bounded number of connections.
 
     Attributes:
-        open_connections: Connections open now.
+        open_channels: Connections open now.
     """
 
     noisy = False
@@ -157,7 +157,7 @@
             **options,
         )
         self._max_connections = max_connections
-        self.open_connections = 0
+        self.open_channels: set[BoundedChannel] = set()
 
     def protocol(self) -> BoundedChannel:
         """Returns a channel; HTTP/1.1 only."""
@@ -165,7 +165,7 @@
 
     def buildProtocol(self, addr) -> Protocol:
         """Returns a channel, or one that refuses where too many are open."""
-        if self.open_connections >= self._max_connections:
+        if len(self.open_channels) >= self._max_connections:
             return FullChannel()
         return super().buildProtocol(addr)
 
@@ -179,11 +179,11 @@
         self._counting_site = site
 
     def connectionMade(self) -> None:
-        self._counting_site.open_connections += 1
+        self._counting_site.open_channels.add(self)
         super().connectionMade()
 
     def connectionLost(self, reason) -> None:
-        self._counting_site.open_connections -= 1
+        self._counting_site.open_channels.discard(self)
         super().connectionLost(reason)
 
 
