Record when a VM leaves, and tell it in the stories that it met

Records of equal time keep the order in which they were made. 105 tests of ctl, observe and membership pass.

--- a/chicorystack/agent/leaving.py
+++ b/chicorystack/agent/leaving.py
@@ -4,6 +4,7 @@
 
 from chicorystack import defaults
 from chicorystack.errors import ApiError
+from chicorystack.observe.decisions import VM_SUBJECT, decisions
 from chicorystack.observe.logs import part_logger
 
 log = part_logger("leaving")
@@ -44,6 +45,10 @@
         """Takes no new work from now on."""
         if self._leave is not None and self._leave.reason == "stop":
             return
+        if self._leave is None or self._leave.reason != reason:
+            decisions.record_notable(
+                VM_SUBJECT, "leaving", "takes no new work", reason
+            )
         late_at = self._clock.seconds() + defaults.LEAVE_KNOWN_S
         if self._leave is not None:
             late_at = self._leave.late_at
@@ -57,6 +62,9 @@
         elif self._leave is not None and self._leave.reason == "vm_list":
             log.info("takes work again: the VM list shows it as live")
             self._leave = None
+            decisions.record_notable(
+                VM_SUBJECT, "leaving", "takes work again", "listed as live"
+            )
 
     def refusal(self) -> ApiError:
         """Counts a call that arrived and returns its refusal."""
--- a/chicorystack/ctl/fleet.py
+++ b/chicorystack/ctl/fleet.py
@@ -11,7 +11,7 @@
 from chicorystack.ctl.session import Session
 from chicorystack.ctl.tables import table, time_text
 from chicorystack.errors import ApiError
-from chicorystack.observe.decisions import Decision, ExplainReply
+from chicorystack.observe.decisions import VM_SUBJECT, Decision, ExplainReply
 from chicorystack.observe.endpoints import ProcessStatus
 from chicorystack.platform.messages import Vm
 from chicorystack.util import key_hash, shard_of
@@ -202,7 +202,7 @@
         customer: Name of the customer; may be empty.
     """
     request = key_hash(customer, key) if customer else key
-    subjects = [request, CONFIG_STREAM]
+    subjects = [request, CONFIG_STREAM, VM_SUBJECT]
     if customer:
         store = await session.read_config()
         shard = shard_of(customer, store.config.shard_count)
@@ -231,14 +231,21 @@
 
 
 def _around(own: list[StoryLine], lines: list[StoryLine]) -> list[StoryLine]:
+    """Returns the other decisions around a call's own.
+
+    Of what VMs decided on themselves, only those that the call met count.
+    """
     if not own:
         return []
+    met = {line["process"] for line in own}
     begin = own[0]["time"] - CONTEXT_BEFORE_S
     end = own[-1]["time"] + CONTEXT_AFTER_S
     return [
         line
         for line in lines
-        if line not in own and begin <= line["time"] <= end
+        if line not in own
+        and begin <= line["time"] <= end
+        and (line["subject"] != VM_SUBJECT or line["process"] in met)
     ]
 
 
--- a/chicorystack/observe/decisions.py
+++ b/chicorystack/observe/decisions.py
@@ -12,6 +12,9 @@
 
 from chicorystack import defaults
 
+# Subject of what a process decides on itself, such as to leave.
+VM_SUBJECT = "vm"
+
 
 class Decision(NamedTuple):
     """One decision.
@@ -19,7 +22,7 @@
     Attributes:
         time: This VM's clock, in seconds since 1970.
         subject: What it is about: a call's key hash, `config`, `shard-N`,
-            `budget:<id>` or `target:<name>`.
+            `budget:<id>`, or `vm` for the process itself.
         part: Which part decided.
         decision: What was decided, in a few words.
         cause: Why.
@@ -80,9 +83,8 @@
 
     def about(self, subjects: set[str]) -> list[Decision]:
         """Returns the kept decisions on any of the subjects, oldest first."""
-        return sorted(
-            decision for decision in self._all() if decision.subject in subjects
-        )
+        found = (item for item in self._all() if item.subject in subjects)
+        return sorted(found, key=lambda decision: decision.time)
 
     def _all(self) -> Iterator[Decision]:
         yield from self._ordinary
--- a/chicorystack/router/drain.py
+++ b/chicorystack/router/drain.py
@@ -10,6 +10,7 @@
 from chicorystack.calls.messages import Empty
 from chicorystack.errors import ApiError
 from chicorystack.membership.routers import LiveRouters, RouterLeaving
+from chicorystack.observe.decisions import VM_SUBJECT, decisions
 from chicorystack.observe.logs import part_logger
 from chicorystack.router.dispatcher import Dispatcher
 from chicorystack.util import rendezvous_order
@@ -57,6 +58,7 @@
         if self.begun:
             return
         log.info("drains: {} calls in flight", self._dispatcher.in_flight)
+        decisions.record_notable(VM_SUBJECT, "drain", "drains", "SIGTERM")
         self.begun = True
         caller_port.factory.closing = True
         await self._resign()
