--- a/chicorystack/agent/gate.py
+++ b/chicorystack/agent/gate.py
@@ -118,6 +118,8 @@
             raise ApiError("not_ready", "the agent has no configuration yet")
         if self.draining and not call.get("refuse"):
             raise self.leaving.refusal()
+        if call["repeatable"] and self.in_flight >= service.max_in_flight:
+            raise ApiError("overloaded", "the target has no room")
         decisions.record(call["key"], "gate", "let through", call["use"])
         if service.kind == "engine":
             await self._generations.serve(request, call)
--- a/chicorystack/router/attempts.py
+++ b/chicorystack/router/attempts.py
@@ -6,7 +6,6 @@
 
 from chicorystack import defaults
 from chicorystack.budget.wallet import Reservation
-from chicorystack.errors import ApiError
 from chicorystack.observe.decisions import decisions
 from chicorystack.observe.logs import part_logger
 from chicorystack.observe.metrics import metrics
@@ -16,11 +15,12 @@
     Forwarder,
     NotDeliveredError,
 )
+from chicorystack.router.progress import Patience, Progress
 from chicorystack.router.settler import Settler
 from chicorystack.routing.targets import TargetState, TargetTable
 
 log = part_logger("attempts")
-MAX_ATTEMPTS = 3
+DEFAULT_PATIENCE = Patience(defaults.ANSWER_START_TIMEOUT_S)
 
 
 class Attempts(Protocol):
@@ -58,10 +58,19 @@
         call: Call,
         reservation: Reservation,
         target: TargetState,
+        progress: Progress | None = None,
+        patience: Patience = DEFAULT_PATIENCE,
     ) -> Delivered:
-        """Delivers the target's answer; raises NotDeliveredError."""
+        """Delivers the target's answer, or the rest of it.
+
+        Raises:
+            NotDeliveredError: If the target does not give the whole of it.
+        """
+        progress = progress or Progress()
         header = call.header(reservation, self._clock.seconds())
         asked_at = self._clock.seconds()
+        if progress.events:
+            header["resume_tokens"] = progress.events
         self._targets.note_sent(target.name, +1)
         if reservation.use:
             self._settler.note_sent(reservation.use, target)
@@ -69,7 +78,7 @@
         decisions.record(call.key, "attempts", "sent", target.name)
         try:
             delivered = await self._forwarder.forward(
-                target.url, header, call.body, request
+                target.url, header, call.body, request, progress, patience
             )
         except NotDeliveredError as error:
             log.warning("target {}: {}", target.name, error, key=call.key)
@@ -84,39 +93,3 @@
             self._targets.note_sent(target.name, -1)
         request.finish()
         return delivered
-
-
-class RepeatableAttempts:
-    """Tries targets of a repeatable call until one gives the answer."""
-
-    def __init__(self, clock, targets: TargetTable, attempt: Attempt):
-        self._clock = clock
-        self._targets = targets
-        self._attempt = attempt
-
-    async def run(
-        self, request: server.Request, call: Call, reservation: Reservation
-    ) -> Delivered:
-        """Delivers the answer; raises as Attempts.run says."""
-        tried: set[str] = set()
-        refusal = ApiError(
-            "no_target",
-            f"no target of {call.service.name} can take the call",
-            retry_after_ms=defaults.RETRY_AFTER_MS,
-        )
-        while len(tried) < MAX_ATTEMPTS:
-            target = self._targets.pick(call.service, tried)
-            if target is None:
-                break
-            tried.add(target.name)
-            try:
-                return await self._attempt.run(
-                    request, call, reservation, target
-                )
-            except NotDeliveredError as error:
-                if error.started:
-                    raise
-                refusal = error.refusal or refusal
-            if self._clock.seconds() >= call.deadline:
-                break
-        raise refusal
