--- a/chicorystack/agent/gate.py
+++ b/chicorystack/agent/gate.py
@@ -5,6 +5,7 @@
 import msgspec
 from twisted.web import resource, server
 
+from chicorystack.agent.closures import EpochGate
 from chicorystack.agent.generations import Generations
 from chicorystack.agent.leaving import LeavingState
 from chicorystack.agent.service_calls import ServiceCalls
@@ -48,6 +49,7 @@
         store: ConfigStore,
         generations: Generations,
         service_calls: ServiceCalls,
+        epochs: EpochGate,
         authorize: Authorizer,
         note_version: Callable[[int], None],
         leaving: LeavingState,
@@ -58,6 +60,7 @@
         self._store = store
         self._generations = generations
         self._service_calls = service_calls
+        self._epochs = epochs
         self._authorize = authorize
         self._note_version = note_version
         self.leaving = leaving
@@ -87,6 +90,7 @@
             ready=(
                 not self.draining
                 and not self._watch.target_down
+                and self._epochs.ready
                 and self._service() is not None
             ),
             in_flight=self.in_flight,
@@ -127,6 +131,9 @@
             raise ApiError("not_ready", "the agent has no configuration yet")
         if self.draining and not call.get("refuse"):
             raise self.leaving.refusal()
+        if call["repeatable"] and self.in_flight >= service.max_in_flight:
+            raise ApiError("overloaded", "the target has no room")
+        self._epochs.check(call)
         decisions.record(call["key"], "gate", "let through", call["use"])
         if service.kind == "engine":
             await self._generations.serve(request, call)
--- a/chicorystack/agent/main.py
+++ b/chicorystack/agent/main.py
@@ -3,15 +3,18 @@
 from twisted.internet import defer, reactor, task
 
 from chicorystack import defaults
+from chicorystack.agent.closures import AgentRegistration, EpochGate
 from chicorystack.agent.gate import Gate
 from chicorystack.agent.generations import Generations
 from chicorystack.agent.leaving import LeavingState
 from chicorystack.agent.service_calls import ServiceCalls
 from chicorystack.agent.target_client import TargetClient
+from chicorystack.agent.usage_table import AgentUsage
+from chicorystack.budget.closures import ClosingQuery
 from chicorystack.calls.kept_streams import KeptStreams
 from chicorystack.calls.messages import Empty, EngineLoad
 from chicorystack.calls.run_table import RunTable
-from chicorystack.calls.usage_table import SettleRequest, UsageTable
+from chicorystack.calls.usage_table import SettleRequest
 from chicorystack.config.peers import PeerPoller, config_peers
 from chicorystack.config.store import ConfigStore
 from chicorystack.errors import ApiError
@@ -24,6 +27,7 @@
 )
 from chicorystack.observe.logs import part_logger, setup_logs
 from chicorystack.observe.metrics import start_metrics
+from chicorystack.platform.log_client import LogClient
 from chicorystack.platform.vm_list import VmListPoller
 from chicorystack.quarantine.probe import TargetProbe
 from chicorystack.quarantine.strikes import StrikeTable
@@ -70,12 +74,19 @@
             settings.service,
         )
         authorize = fleet_authorizer(settings.fleet_token)
-        usage = UsageTable(reactor)
+        usage = AgentUsage(reactor)
+        epochs = EpochGate(usage.by_holder)
+        self._epochs = epochs
+        log_client = LogClient(reactor, self._client, settings.log_url)
+        self._registration = AgentRegistration(
+            reactor, log_client, settings.name, epochs
+        )
         self._gate = Gate(
             settings,
             self._store,
             Generations(target, usage, KeptStreams(reactor)),
             ServiceCalls(reactor, target, RunTable(reactor), usage),
+            epochs,
             authorize,
             self._config_peers.note_version,
             LeavingState(reactor),
@@ -85,8 +96,15 @@
         self._load_loop = task.LoopingCall(self._poll_target_load)
         root = Tree()
         root.put("run", self._gate)
-        root.put("settle", JsonEndpoint(SettleRequest, usage.settle, authorize))
+        root.put(
+            "settle",
+            JsonEndpoint(SettleRequest, usage.by_use.settle, authorize),
+        )
         root.put("load", JsonEndpoint(Empty, self._gate.load, authorize))
+        root.put(
+            "close-epochs",
+            JsonEndpoint(ClosingQuery, epochs.close, authorize),
+        )
         put_observe_endpoints(root, authorize, self._readiness, self._status)
         self._port = listen(reactor, root, settings.address, settings.port)
 
@@ -94,6 +112,7 @@
         """Begins to follow the configuration and the target's load."""
         self._vm_list.start()
         self._config_peers.start()
+        self._registration.start()
         self._load_loop.start(defaults.LOAD_REPORT_INTERVAL_S)
         log.info("guards target {}", self._settings.name)
 
@@ -124,6 +143,9 @@
             readiness |= {"ready": False, "reason": "draining"}
         elif version == 0:
             readiness |= {"ready": False, "reason": "no configuration yet"}
+        elif not self._epochs.ready:
+            reason = "closed epochs are not known yet"
+            readiness |= {"ready": False, "reason": reason}
         return readiness
 
     def _status(self) -> ProcessStatus:
--- a/chicorystack/calls/messages.py
+++ b/chicorystack/calls/messages.py
@@ -30,17 +30,21 @@
         service: Service to call.
         operation: Operation to call.
         customer: Customer who pays.
+        budget: Budget's id.
         key: Hash of customer and call key.
         repeatable: Whether running the call twice does no harm.
         shard: Shard of the budget.
         epoch: Epoch under which the tokens are held.
         use: Id of this run for billing.
+        settled_below: All runs of the same router and shard with a lower
+            number are settled with the keeper.
         reserved: Upper bound on the tokens of the call.
         cost_tokens: Tokens charged besides prompt and generated ones.
         max_tokens: Most tokens to generate; engines only.
         priority: Order in which the target takes calls.
         timeout_ms: Time left to the caller's deadline; the receiver turns it
             into a deadline on its own clock at once.
+        resume_tokens: Generated tokens that the caller has already.
         keep_answer: Whether the caller gave the key and so may ask again.
         refuse: Whether the call is to be refused for good unless it has run.
         config_version: Configuration in force at the router.
@@ -51,16 +55,19 @@
     service: str
     operation: str
     customer: str
+    budget: str
     key: str
     repeatable: bool
     shard: int
     epoch: int
     use: str
+    settled_below: int
     reserved: int
     cost_tokens: int
     max_tokens: int
     priority: Priority
     timeout_ms: int
+    resume_tokens: NotRequired[int]
     keep_answer: NotRequired[bool]
     refuse: NotRequired[bool]
     config_version: NotRequired[int]
--- a/chicorystack/defaults.py
+++ b/chicorystack/defaults.py
@@ -32,6 +32,10 @@
 # Least time that the owner of a key gets to say what became of it.
 REFUSAL_TIMEOUT_S = 2.0
 
+# How long bills are remembered; longer than any process reports usage.
+BILL_WINDOW_S = 1_800.0
+BILL_WINDOW_MAX_STEP_S = 10.0
+
 # Platform.
 LOG_READ_WAIT_MS = 2_000
 LOG_READ_LIMIT = 500
@@ -74,6 +78,11 @@
 CONFIG_WINNERS_KEPT = 1_000
 
 # Budgets.
+# How long a repeated id of a top-up or customer is told.
+OPERATOR_RECORD_WINDOW_S = 30 * 86_400.0
+SNAPSHOT_PART_CHARS = 200_000
+# A snapshot is due after this part of the log's retention.
+SNAPSHOT_RETENTION_DIVISOR = 4
 DEFAULT_BUDGET = "main"
 SHARD_COUNT = 4
 USAGE_REPORT_INTERVAL_S = 0.2
@@ -82,7 +91,37 @@
 KEEPER_SEARCH_S = 2.0
 KEEPER_SEARCH_PAUSE_S = 0.1
 BUDGET_RETRY_AFTER_MS = 60_000
+# How long a stopping router tries to give its tokens back.
 HAND_BACK_S = 5.0
+# Least time between two reads to the end of a stream before a refusal.
+REFRESH_MIN_S = 0.25
+# Appends a second of all keepers together.
+KEEPER_APPENDS_PER_S = 200
+
+# Part of a budget over which a router's recent use fades.
+USE_MEMORY_PART = 0.05
+LEAST_USE_TOKENS = 1.0
+# Most holders that are asked to give tokens back for another's call.
+RECALL_MAX_HOLDERS = 8
+RECALL_WAIT_S = 0.4
+RECALL_CHECK_S = 0.02
+
+# Settlement of what gone routers held.
+SETTLE_INTERVAL_S = 1.0
+CLAIM_RETRY_INITIAL_S = 1.0
+CLAIM_RETRY_MAX_S = 60.0
+# Least time between two epochs that a keeper claims for settlement.
+SETTLE_EPOCH_MIN_S = 120.0
+# Time between looks for holders that say nothing more.
+HOLDER_PROBE_S = 60.0
+# A holder that stays unreachable for so long is settled without it.
+HOLDER_LOST_S = 900.0
+# Keepers tell agents of closures directly; this finds what they missed.
+CLOSURES_READ_PAUSE_S = 30.0
+AGENT_PRESENT_INTERVAL_S = 21_600.0
+# Usage older than this may have been billed and forgotten.
+USAGE_BILLABLE_S = 1_200.0
+USAGE_TABLE_MAX_ENTRIES = 20_000
 
 # Agents.
 LOAD_REPORT_INTERVAL_S = 0.5
@@ -91,6 +130,43 @@
 KEPT_STREAMS_MAX_BYTES = 4 * 1024 * 1024
 MAX_KEYS_PER_AGENT = 100_000
 
+# Routing.
+TARGETS_PER_ROUTER = 16
+PICK_SAMPLE = 3
+# Part of a target's limit by which another data centre's must be freer.
+OTHER_DATA_CENTRE_LOAD = 0.1
+QUEUE_WAIT_MAX_S = 0.4
+# For a call of a customer within its fair share.
+SHARE_WAIT_MAX_S = 1.0
+# Age of a report from which a call may try whether a target has room.
+PROBE_AGE_S = 0.1
+PROBE_INTERVAL_S = 0.02
+PRIORITY_HEAD_START_S = 0.4
+RANK_MIX_GAIN = 0.05
+LEAST_PACE_PART = 0.02
+# Calls by which one customer may run ahead of another while both wait.
+FAIR_WINDOW_CALLS = 2.0
+TIMING_GAIN = 0.1
+START_BOUND_MIN_S = 0.5
+STALL_BOUND_MIN_S = 0.5
+STALL_GAPS = 10
+MAX_ATTEMPTS = 3
+RETRIES_PER_CALL = 0.1
+RETRY_BUDGET_MAX = 20
+RETRY_DELAY_MAX_S = 0.02
+
+# Ejection of targets.
+EJECT_FAILURES = 2
+EJECT_S = 2.0
+EJECT_MAX_S = 60.0
+RAMP_END = 16
+SLOWNESS_GAIN = 0.3
+SLOWNESS_FLOOR_S = 0.05
+SLOW_SAMPLES = 3
+SLOW_FACTOR = 2.0
+# Most of a service's targets that may be ejected as slow.
+SLOW_EJECTED_MAX = 0.34
+
 # Observation.
 METRICS_INTERVAL_S = 10.0
 METRICS_DATAGRAM_BYTES = 1400
--- a/chicorystack/platform/log_client.py
+++ b/chicorystack/platform/log_client.py
@@ -23,6 +23,8 @@
 from chicorystack.web.client import JsonClient, UnreachableError
 
 log = part_logger("log-client")
+# An offset that no stream reaches.
+END_OF_STREAM = 2**53
 
 
 class LogClient:
@@ -93,11 +95,48 @@
             f"{self._base_url}/read?{query}", ReadPage, timeout_s
         )
 
+    async def end_offset(self, stream: str) -> int:
+        """Returns the offset that the next append will get.
+
+        Raises:
+            UnreachableError: If no answer came.
+            ApiError: If the service refused.
+        """
+        page = await self.read(stream, END_OF_STREAM)
+        return page["end_offset"]
+
+
+class AppendPacer:
+    """Spaces a process' appends so that the fleet stays within its share.
+
+    Each of n routers begins an append every n / KEEPER_APPENDS_PER_S
+    seconds at most, so that all together append at most
+    KEEPER_APPENDS_PER_S times a second, however many they are.
+    """
+
+    def __init__(self, clock, router_count: Callable[[], int]):
+        self._clock = clock
+        self._router_count = router_count
+        self._next_at = 0.0
+
+    async def turn(self) -> None:
+        """Returns when the next append may begin."""
+        interval_s = self._router_count() / defaults.KEEPER_APPENDS_PER_S
+        turn_at = max(self._clock.seconds(), self._next_at)
+        self._next_at = turn_at + interval_s
+        delay_s = turn_at - self._clock.seconds()
+        if delay_s > 0:
+            await task.deferLater(self._clock, delay_s)
+
 
 class LogFollower:
     """Delivers a stream's entries, in order, to a callback, for ever.
 
+    At the end of the stream it waits for the next entry or, where told so,
+    pauses for a fixed time.
+
     Attributes:
+        stream: Name of the stream.
         next_offset: Offset of the next entry to deliver.
         caught_up: Whether the end of the stream has been reached once.
         reachable: Whether the last read succeeded.
@@ -109,10 +148,12 @@
         client: LogClient,
         stream: str,
         deliver: Callable[[LogEntry], None],
+        pause_s: float = 0.0,
     ):
         self._reactor = reactor
         self._client = client
-        self._stream = stream
+        self._pause_s = pause_s
+        self.stream = stream
         self._deliver = deliver
         self._running: defer.Deferred | None = None
         self._waiters: list[tuple[int, defer.Deferred]] = []
@@ -141,14 +182,15 @@
     async def _run(self) -> None:
         failures = 0
         while True:
-            wait_ms = defaults.LOG_READ_WAIT_MS if self.caught_up else 0
+            waits = self.caught_up and not self._pause_s
+            wait_ms = defaults.LOG_READ_WAIT_MS if waits else 0
             try:
                 page = await self._client.read(
-                    self._stream, self.next_offset, wait_ms
+                    self.stream, self.next_offset, wait_ms
                 )
             except (UnreachableError, ApiError) as error:
                 if self.reachable:
-                    log.warning("stream {}: {}", self._stream, error)
+                    log.warning("stream {}: {}", self.stream, error)
                 self.reachable = False
                 await task.deferLater(self._reactor, backoff_delay(failures))
                 failures += 1
@@ -156,6 +198,8 @@
             failures = 0
             self.reachable = True
             self._take(page)
+            if self._pause_s and self.caught_up:
+                await task.deferLater(self._reactor, self._pause_s)
 
     def _take(self, page: ReadPage) -> None:
         for entry in page["entries"]:
--- a/chicorystack/router/main.py
+++ b/chicorystack/router/main.py
@@ -5,7 +5,11 @@
 from chicorystack import defaults
 from chicorystack.budget.client import BudgetClient, KeeperLocator
 from chicorystack.budget.keeper_service import KeeperService
-from chicorystack.budget.messages import CustomerQuery, Exchange
+from chicorystack.budget.messages import (
+    CustomerQuery,
+    Exchange,
+    HolderQuery,
+)
 from chicorystack.calls.messages import Empty, LoadReport
 from chicorystack.config.messages import ConfigInForce, ConfigQuery
 from chicorystack.config.peers import live_routers
@@ -30,12 +34,13 @@
 from chicorystack.quarantine.sentry import Sentry
 from chicorystack.quarantine.strikes import StrikesMessage, StrikeTable
 from chicorystack.router.admission import Admission
-from chicorystack.router.attempts import Attempt, RepeatableAttempts
+from chicorystack.router.attempts import Attempt
 from chicorystack.router.auth import CustomerDirectory
 from chicorystack.router.dispatcher import Dispatcher
 from chicorystack.router.drain import Drain
 from chicorystack.router.forwarder import Forwarder
 from chicorystack.router.owner_attempts import OwnerAttempts
+from chicorystack.router.policies import Policy
 from chicorystack.router.resources import caller_tree
 from chicorystack.router.settler import Settler
 from chicorystack.routing.targets import TargetTable
@@ -64,7 +69,9 @@
             reactor, self._client, settings.vm_list_url
         )
         presence = Presence(reactor)
-        self._targets = TargetTable(settings.data_centre, presence)
+        self._targets = TargetTable(
+            settings.data_centre, settings.name, presence
+        )
         self._reports = ReportPoller(
             reactor, self._client, presence, self._agent_urls
         )
@@ -82,15 +89,18 @@
         self._keeper = KeeperService(
             reactor,
             log_client,
+            self._client,
             settings.name,
             own_url,
             self._routers.url_by_name,
+            lambda: self._vm_list.vm_by_name,
+            log_retention_s=settings.log_retention_s,
         )
         self._review_loop = task.LoopingCall(self._review_shards)
         locator = KeeperLocator(
             reactor, self._client, self._routers.url_by_name
         )
-        self._budgets = BudgetClient(reactor, locator)
+        self._budgets = BudgetClient(reactor, locator, settings.name)
         customers = CustomerDirectory(reactor, self._budgets)
         strikes = StrikeTable(reactor)
         self._sentry = Sentry(
@@ -105,19 +115,19 @@
             strikes,
         )
         settler = Settler(reactor, self._client, self._targets, self._budgets)
+        self._policy = Policy(reactor, settings, self._targets)
+        forwarder = Forwarder(
+            reactor, settings.fleet_token, self._policy.note_answer
+        )
         attempt = Attempt(
-            reactor,
-            self._targets,
-            Forwarder(reactor, settings.fleet_token),
-            self._sentry,
-            settler,
+            reactor, self._targets, forwarder, self._sentry, settler
         )
         self._dispatcher = Dispatcher(
             reactor,
             self._store,
             admission,
             settler,
-            RepeatableAttempts(reactor, self._targets, attempt),
+            self._policy.attempts(attempt),
             OwnerAttempts(reactor, self._targets, attempt),
         )
         self._drain = Drain(
@@ -152,8 +162,10 @@
         self._config.start()
         self._vm_list.start()
         self._reports.on_report(self._note_report)
+        self._reports.on_silence(self._policy.note_silence)
         self._reports.start()
         self._budgets.start()
+        self._keeper.start()
         self._review_loop.start(defaults.SHARD_REVIEW_S)
         log.info("serves site {}", self._settings.site)
 
@@ -172,6 +184,7 @@
             ("leaving", RouterLeaving, self._note_leaving),
             ("keeper/exchange", Exchange, keeper.handle_exchange),
             ("keeper/customer", CustomerQuery, keeper.handle_customer),
+            ("holder", HolderQuery, self._budgets.handle_holder),
             ("keeper/budgets", CustomerQuery, keeper.handle_budgets),
         ]
         for path, message_type, handler in endpoints:
@@ -239,11 +252,18 @@
         self._reports.poll()
 
     def _agent_urls(self) -> dict[str, str]:
-        targets = self._targets.target_by_name.values()
-        return {target.name: target.url for target in targets}
+        """Returns the URLs of the agents that this router works with."""
+        site = self._store.config.site_by_name.get(self._settings.site)
+        services = site.service_by_name.values() if site else ()
+        return {
+            target.name: target.url
+            for service in services
+            for target in self._targets.of_interest(service)
+        }
 
     def _note_report(self, report: LoadReport) -> None:
         self._config.peers.note_version(report["config_version"])
+        self._policy.note_report(report)
 
 
 def run(settings: RouterSettings) -> None:
--- a/chicorystack/settings/types.py
+++ b/chicorystack/settings/types.py
@@ -1,6 +1,6 @@
 """The settings of each program; every field is a flag and a variable."""
 
-from typing import Annotated, Literal, NamedTuple, get_args
+from typing import Annotated, Literal, NamedTuple, get_args, get_origin
 
 import msgspec
 from msgspec import Meta
@@ -10,6 +10,7 @@
 LogLevel = Literal[
     "TRACE", "DEBUG", "INFO", "SUCCESS", "WARNING", "ERROR", "CRITICAL"
 ]
+PickerName = Literal["sampled", "least_sent", "round_robin"]
 Port = Annotated[
     int,
     Meta(ge=1, le=65535, description="expected a TCP port from 1 to 65535"),
@@ -70,8 +71,8 @@
 
 def describe(kind: object) -> str:
     """Returns what a value of the type looks like, or empty if unsaid."""
-    if kind is LogLevel:
-        return f"expected one of {', '.join(get_args(LogLevel))}"
+    if get_origin(kind) is Literal:
+        return f"expected one of {', '.join(get_args(kind))}"
     if kind in EXPECTED_BY_TYPE:
         return EXPECTED_BY_TYPE[kind]
     for meta in getattr(kind, "__metadata__", ()):
@@ -96,6 +97,8 @@
         address: IP address to listen on and to be reached at.
         port: TCP port for callers.
         control_port: TCP port for the fleet and operators.
+        picker: Policy that chooses targets: sampled, least_sent or
+            round_robin.
         log_retention_s: How long the log service keeps records, in seconds.
         statsd: IP:port of the statsd server; empty for none.
         log_level: Least severe level that is logged.
@@ -110,6 +113,7 @@
     address: IpAddress = defaults.LOOPBACK
     port: Port = 7100
     control_port: Port = 7101
+    picker: PickerName = "sampled"
     log_retention_s: float = defaults.LOG_RETENTION_S
     statsd: Statsd = ""
     log_level: LogLevel = "INFO"
--- a/tests/integration/test_fleet_config.py
+++ b/tests/integration/test_fleet_config.py
@@ -63,10 +63,18 @@
         config_fleet.process_by_name["fault-model-1"].wait()
         target = config_fleet.target_by_name["fault-model-1"]
         config_fleet.start_agent(service, target)
-        config_fleet.wait_until_ready()
-        assert set(versions(config_fleet).values()) == {1}
+        wait_for_version(config_fleet, 1)
+        ready = config_fleet.control(
+            config_fleet.router_by_name["router-3"].control_port, "/readyz"
+        )
+        assert ready["ready"]
+        # It can't know from a peer which epochs are closed.
+        waiting = config_fleet.control(target.agent_port, "/readyz")
+        assert waiting["reason"] == "closed epochs are not known yet"
     finally:
         order_log(config_fleet, down=False)
+    config_fleet.wait_until_ready()
+    assert set(versions(config_fleet).values()) == {1}
 
 
 def test_router_cut_from_the_log_takes_it_from_a_peer(config_fleet):
--- a/tests/web/test_fuzz.py
+++ b/tests/web/test_fuzz.py
@@ -8,14 +8,19 @@
 from loguru import logger
 from twisted.internet import task
 
+from chicorystack.agent.closures import EpochGate
 from chicorystack.agent.gate import Gate
 from chicorystack.agent.leaving import LeavingState
+from chicorystack.agent.usage_table import HolderUsage
+from chicorystack.budget.client import BudgetClient
+from chicorystack.budget.closures import ClosingQuery
 from chicorystack.budget.keeper_service import KeeperService
 from chicorystack.budget.messages import (
     BudgetsReply,
     CustomerQuery,
     CustomerReply,
     Exchange,
+    HolderQuery,
 )
 from chicorystack.budget.wallet import Reservation, ShardWallet
 from chicorystack.calls.messages import CALL_HEADER, LoadReport
@@ -133,7 +138,11 @@
 def control_wire():
     authorize = fleet_authorizer(TOKEN)
     store = make_store()
-    keeper = KeeperService(task.Clock(), None, "r", "u", dict)
+    clock = task.Clock()
+    keeper = KeeperService(clock, None, None, "r", "u", dict, dict)
+    epochs = EpochGate(HolderUsage(clock))
+    epochs.ready = True
+    holders = BudgetClient(clock, None, "r")
     service = FakeService()
     strikes = StrikeTable(task.Clock())
     gate = Gate(
@@ -141,9 +150,10 @@
         store,
         service,
         service,
+        epochs,
         authorize,
         lambda _: None,
-        LeavingState(task.Clock()),
+        LeavingState(clock),
         DeathWatch("booking-1", strikes, probe=None),
     )
     sentry = Sentry(
@@ -176,6 +186,8 @@
         ("keeper/exchange", Exchange, keeper.handle_exchange),
         ("keeper/customer", CustomerQuery, keeper.handle_customer),
         ("keeper/budgets", CustomerQuery, keeper.handle_budgets),
+        ("holder", HolderQuery, holders.handle_holder),
+        ("close-epochs", ClosingQuery, epochs.close),
     ):
         root.put(path, JsonEndpoint(kind, handler, authorize))
     return Wire(root)
@@ -215,7 +227,8 @@
 )
 message_fields = st.sampled_from(
     ["prompt", "max_tokens", "shard", "holder", "number", "epoch", "held",
-     "usage", "wanted", "customer", "subjects", "known", "target", "ready"]
+     "usage", "wanted", "holders", "customer", "subjects", "known", "target",
+     "ready"]
 )  # fmt: skip
 messages = st.dictionaries(message_fields, json_values, max_size=8)
 bodies = st.one_of(
@@ -251,6 +264,8 @@
     b"/keeper/customer?shard=0&customer=%ff",
     b"/explain?subjects=a,b",
     b"/report",
+    b"/holder",
+    b"/close-epochs",
     b"/status",
     b"/readyz",
     b"/strikes",
