--- a/chicorystack/agent/gate.py
+++ b/chicorystack/agent/gate.py
@@ -22,6 +22,7 @@
 from chicorystack.errors import ApiError
 from chicorystack.observe.decisions import decisions
 from chicorystack.observe.metrics import metrics
+from chicorystack.quarantine.watch import DeathWatch
 from chicorystack.settings.types import AgentSettings
 from chicorystack.web.server import (
     Authorizer,
@@ -52,6 +53,7 @@
         authorize: Authorizer,
         note_version: Callable[[int], None],
         leaving: LeavingState,
+        watch: DeathWatch,
     ):
         super().__init__()
         self._settings = settings
@@ -62,6 +64,7 @@
         self._authorize = authorize
         self._note_version = note_version
         self.leaving = leaving
+        self._watch = watch
         self._reported = EngineLoad(running=0, queued=0)
 
     @property
@@ -86,6 +89,7 @@
             target=self._settings.name,
             ready=(
                 not self.draining
+                and not self._watch.target_down
                 and self._epochs.ready
                 and self._service() is not None
             ),
@@ -95,6 +99,7 @@
             config_version=self._store.config.version,
             leaving=self.draining,
             late_arrivals=self.leaving.late_arrivals,
+            strikes=self._watch.strikes(),
         )
 
     def note_target_load(self, load: EngineLoad) -> None:
@@ -120,6 +125,7 @@
             raise
 
     async def _serve(self, request: server.Request, call: CallHeader) -> None:
+        self._watch.take_strikes(call.get("strikes", []))
         service = self._service()
         if service is None:
             raise ApiError("not_ready", "the agent has no configuration yet")
--- a/chicorystack/calls/messages.py
+++ b/chicorystack/calls/messages.py
@@ -3,6 +3,7 @@
 from typing import Literal, NotRequired, TypedDict
 
 from chicorystack.config.model import Priority
+from chicorystack.quarantine.strikes import StrikeMessage
 
 CALL_HEADER = "chicory-call"
 ANSWER_HEADER = "chicory-answer"
@@ -47,6 +48,7 @@
         keep_answer: Whether the caller gave the key and so may ask again.
         refuse: Whether the call is to be refused for good unless it has run.
         config_version: Configuration in force at the router.
+        strikes: Strikes of the call's content, as the router knows.
     """
 
     site: str
@@ -69,6 +71,7 @@
     keep_answer: NotRequired[bool]
     refuse: NotRequired[bool]
     config_version: NotRequired[int]
+    strikes: NotRequired[list[StrikeMessage]]
 
 
 class AnswerHeader(TypedDict):
@@ -112,6 +115,7 @@
         config_version: Configuration in force at the agent.
         leaving: Whether it takes no new calls any more.
         late_arrivals: New calls that came when routers should have known.
+        strikes: Contents that ran when a target died, as known here.
     """
 
     target: str
@@ -122,6 +126,7 @@
     config_version: int
     leaving: NotRequired[bool]
     late_arrivals: NotRequired[int]
+    strikes: NotRequired[list[StrikeMessage]]
 
 
 class Empty(TypedDict):
--- a/chicorystack/router/attempts.py
+++ b/chicorystack/router/attempts.py
@@ -9,6 +9,7 @@
 from chicorystack.observe.decisions import decisions
 from chicorystack.observe.logs import part_logger
 from chicorystack.observe.metrics import metrics
+from chicorystack.quarantine.sentry import Sentry
 from chicorystack.router.admission import Call
 from chicorystack.router.forwarder import (
     Delivered,
@@ -45,11 +46,13 @@
         clock,
         targets: TargetTable,
         forwarder: Forwarder,
+        sentry: Sentry,
         settler: Settler,
     ):
         self._clock = clock
         self._targets = targets
         self._forwarder = forwarder
+        self._sentry = sentry
         self._settler = settler
 
     async def run(
@@ -65,9 +68,13 @@
 
         Raises:
             NotDeliveredError: If the target does not give the whole of it.
+            ApiError: `quarantined`.
         """
+        self._check_quarantine(call)
+        target = self._assign(call, target)
         progress = progress or Progress()
         header = call.header(reservation, self._clock.seconds())
+        header["strikes"] = self._sentry.strikes.messages(call.content)
         asked_at = self._clock.seconds()
         if progress.events:
             header["resume_tokens"] = progress.events
@@ -86,10 +93,34 @@
             decisions.record_notable(
                 call.key, "attempts", f"failed at {target.name}", str(error)
             )
-            if error.refusal and error.refusal.code == "draining":
+            if error.target_leaves:
                 self._targets.note_refused(target.name, asked_at)
+            if error.may_be_death:
+                await self._sentry.note_failure(target.name)
+                if not error.started:
+                    self._check_quarantine(call)
             raise
         finally:
             self._targets.note_sent(target.name, -1)
         request.finish()
+        self._sentry.strikes.note_completed(call.content)
         return delivered
+
+    def _check_quarantine(self, call: Call) -> None:
+        # A tombstone may be asked for whatever the content: nothing runs.
+        if not call.refuse:
+            self._sentry.strikes.check(call.content)
+
+    def _assign(self, call: Call, picked: TargetState) -> TargetState:
+        """Returns the picked target, or the one that must run a suspect."""
+        if not call.operation.repeatable:
+            return picked
+        names = call.service.target_by_name
+        usable = list(filter(self._targets.takes_work, names))
+        name = self._sentry.assign(call.content, usable)
+        if name is None:
+            return picked
+        decisions.record_notable(
+            call.key, "quarantine", f"suspect goes to {name}", call.content
+        )
+        return self._targets.target_by_name[name]
--- a/chicorystack/router/forwarder.py
+++ b/chicorystack/router/forwarder.py
@@ -46,6 +46,21 @@
         self.started = started
         self.refusal = refusal
 
+    @property
+    def target_leaves(self) -> bool:
+        """Whether the agent refused because its target is leaving."""
+        return self.refusal is not None and self.refusal.code == "draining"
+
+    @property
+    def may_be_death(self) -> bool:
+        """Whether the target may have died over the call.
+
+        An agent that can't be reached knows nothing that is worth a wait.
+        """
+        if self.refusal is None:
+            return self.started
+        return self.refusal.code == "target_failed"
+
 
 class Delivered(NamedTuple):
     """A whole answer has been given to the caller.
--- a/chicorystack/router/main.py
+++ b/chicorystack/router/main.py
@@ -12,6 +12,7 @@
 )
 from chicorystack.calls.messages import Empty, LoadReport
 from chicorystack.config.messages import ConfigInForce, ConfigQuery
+from chicorystack.config.peers import live_routers
 from chicorystack.config.source import RouterConfigSource
 from chicorystack.config.store import ConfigStore
 from chicorystack.lifecycle import run_until_stopped
@@ -30,6 +31,8 @@
 from chicorystack.platform.log_client import LogClient
 from chicorystack.platform.messages import Vm
 from chicorystack.platform.vm_list import VmListPoller
+from chicorystack.quarantine.sentry import Sentry
+from chicorystack.quarantine.strikes import StrikesMessage, StrikeTable
 from chicorystack.router.admission import Admission
 from chicorystack.router.attempts import Attempt
 from chicorystack.router.auth import CustomerDirectory
@@ -99,19 +102,26 @@
         )
         self._budgets = BudgetClient(reactor, locator, settings.name)
         customers = CustomerDirectory(reactor, self._budgets)
+        strikes = StrikeTable(reactor)
+        self._sentry = Sentry(
+            self._client, strikes, self._reports, self._peer_urls
+        )
         admission = Admission(
             reactor,
             settings.site,
             customers,
             self._budgets,
             self._targets.has_target,
+            strikes,
         )
         settler = Settler(reactor, self._client, self._targets, self._budgets)
         self._policy = Policy(reactor, settings, self._targets)
         forwarder = Forwarder(
             reactor, settings.fleet_token, self._policy.note_answer
         )
-        attempt = Attempt(reactor, self._targets, forwarder, settler)
+        attempt = Attempt(
+            reactor, self._targets, forwarder, self._sentry, settler
+        )
         self._dispatcher = Dispatcher(
             reactor,
             self._store,
@@ -170,6 +180,7 @@
         put_observe_endpoints(root, authorize, self._readiness, self._status)
         endpoints = [
             ("config", ConfigQuery, self._answer_config),
+            ("strikes", StrikesMessage, self._sentry.handle_strikes),
             ("leaving", RouterLeaving, self._note_leaving),
             ("keeper/exchange", Exchange, keeper.handle_exchange),
             ("keeper/customer", CustomerQuery, keeper.handle_customer),
@@ -217,6 +228,15 @@
     def _vms(self) -> list[Vm]:
         return list(self._vm_list.vm_by_name.values())
 
+    def _peer_urls(self) -> list[str]:
+        """Returns control URLs of the site's other live routers."""
+        return [
+            f"http://{vm['address']}:{vm['port']}"
+            for vm in live_routers(self._vms())
+            if vm["site"] == self._settings.site
+            and vm["name"] != self._settings.name
+        ]
+
     async def _note_leaving(self, notice: RouterLeaving) -> Empty:
         self._routers.note_leaving(notice["name"])
         return Empty()
--- a/chicorystack/router/repeatable_attempts.py
+++ b/chicorystack/router/repeatable_attempts.py
@@ -61,6 +61,9 @@
                     self._targets.note_full(target.name, self._clock.seconds())
                     refused = True
                     continue
+                if error.target_leaves and not error.started:
+                    # It said so at once, and is not picked again.
+                    continue
                 tried.append(target.name)
                 await self._prepare_retry(call, error, last)
 
--- a/tests/web/test_fuzz.py
+++ b/tests/web/test_fuzz.py
@@ -29,11 +29,16 @@
 from chicorystack.config.model import build_config
 from chicorystack.config.store import ConfigStore
 from chicorystack.errors import STATUS_BY_CODE
+from chicorystack.membership.reports import ReportPoller
+from chicorystack.membership.routers import RouterLeaving
 from chicorystack.observe.endpoints import (
     Readiness,
     make_status,
     put_observe_endpoints,
 )
+from chicorystack.quarantine.sentry import Sentry
+from chicorystack.quarantine.strikes import StrikesMessage, StrikeTable
+from chicorystack.quarantine.watch import DeathWatch
 from chicorystack.router.admission import (
     BUDGET_HEADER,
     KEY_HEADER,
@@ -112,7 +117,12 @@
     clock, store, budgets = task.Clock(), make_store(), FakeBudgets()
     customers = CustomerDirectory(clock, budgets)
     admission = Admission(
-        clock, "dk-east", customers, budgets, lambda _service: True
+        clock,
+        "dk-east",
+        customers,
+        budgets,
+        has_target=lambda _: True,
+        strikes=StrikeTable(clock),
     )
     attempts = FakeAttempts()
     dispatcher = Dispatcher(
@@ -134,6 +144,7 @@
     epochs.ready = True
     holders = BudgetClient(clock, None, "r")
     service = FakeService()
+    strikes = StrikeTable(task.Clock())
     gate = Gate(
         AgentSettingsStub,
         store,
@@ -143,7 +154,14 @@
         authorize,
         lambda _: None,
         LeavingState(clock),
+        DeathWatch("booking-1", strikes, probe=None),
     )
+    sentry = Sentry(
+        None, strikes, ReportPoller(task.Clock(), None, None, dict), list
+    )
+
+    async def note_leaving(_notice):
+        return {}
 
     async def answer_config(query) -> ConfigInForce:
         return store.in_force(query.get("known", 0))
@@ -163,6 +181,8 @@
     for path, kind, handler in (
         ("config", ConfigQuery, answer_config),
         ("report", LoadReport, take_report),
+        ("strikes", StrikesMessage, sentry.handle_strikes),
+        ("leaving", RouterLeaving, note_leaving),
         ("keeper/exchange", Exchange, keeper.handle_exchange),
         ("keeper/customer", CustomerQuery, keeper.handle_customer),
         ("keeper/budgets", CustomerQuery, keeper.handle_budgets),
@@ -248,6 +268,8 @@
     b"/close-epochs",
     b"/status",
     b"/readyz",
+    b"/strikes",
+    b"/leaving",
 ]
 methods = st.sampled_from([b"GET", b"POST", b"PUT", b"HEAD", b"OPTIONS", b"X"])
 
