--- a/tests/integration/test_fleet_stop.py
+++ b/tests/integration/test_fleet_stop.py
@@ -85,6 +85,8 @@
         "service": target.service,
         "operation": "summary",
         "customer": "alpha",
+        "budget": "alpha/main",
+        "settled_below": 0,
         "key": "slow",
         "repeatable": True,
         "shard": 0,
