--- a/bench/budgets.py
+++ b/bench/budgets.py
@@ -1,8 +1,8 @@
 """Compares ways of sharing a budget: overspend and false refusals.
 
 On a driven clock, with the real budget code; the same load and seeds for each
-way. `python -m bench.budgets` prints a table, `--json` the rows, `--slopes`
-the appends and bytes that the log takes.
+way. `python -m bench.budgets` prints a table, `--as_json` its rows, `--slopes`
+the appends and bytes that the log takes, `--kills` what router kills strand.
 """
 
 import json
@@ -267,7 +267,7 @@
                 yield trial.row(user_name, name, policy_name)
 
 
-def kills(seed: int, count: int = 100) -> dict[str, float]:
+def measure_kills(seed: int, count: int = 100) -> dict[str, float]:
     """Kills routers that hold tokens and says what is stranded."""
     sim = Simulation()
     sim.add_agent("a1", "dc-1")
@@ -313,7 +313,7 @@
     return keeper.unsettled + of_dead
 
 
-def slopes(seed: int) -> list[dict[str, float]]:
+def measure_slopes(seed: int) -> list[dict[str, float]]:
     """Measures appends and bytes a second at several sizes."""
     rows = []
     for customers, routers, calls_per_s in (
@@ -361,9 +361,9 @@
     seed: int = 1,
     only: str = "",
     demand_part: float = 0.5,
-    json_output: bool = False,
-    slopes_only: bool = False,
-    kills_only: bool = False,
+    as_json: bool = False,
+    slopes: bool = False,
+    kills: bool = False,
 ) -> None:
     """Prints the comparison.
 
@@ -372,19 +372,19 @@
         demand_part: What the callers ask for during the fault, as a part of
             what is left when it begins.
         only: Part of the names of the scenarios to run.
-        json_output: Prints JSON.
-        slopes_only: Prints the log's load at several sizes instead, as JSON.
-        kills_only: Prints what 100 router kills strand instead, as JSON.
+        as_json: Prints JSON.
+        slopes: Prints the log's load at several sizes instead, as JSON.
+        kills: Prints what 100 router kills strand instead, as JSON.
     """
     logger.disable("chicorystack")
-    if slopes_only:
-        print(json.dumps(slopes(seed), indent=1))
+    if slopes:
+        print(json.dumps(measure_slopes(seed), indent=1))
         return
-    if kills_only:
-        print(json.dumps(kills(seed), indent=1))
+    if kills:
+        print(json.dumps(measure_kills(seed), indent=1))
         return
     for row in compare(seed, demand_part, only):
-        if json_output:
+        if as_json:
             print(json.dumps(row._asdict()), flush=True)
         else:
             _print_row(row)
