--- a/chicorystack/agent/generations.py
+++ b/chicorystack/agent/generations.py
@@ -26,6 +26,7 @@
 )
 from chicorystack.calls.run_table import KeptAnswer, body_hash
 from chicorystack.errors import ApiError
+from chicorystack.observe.decisions import decisions
 from chicorystack.observe.logs import part_logger
 from chicorystack.web.server import read_body
 
@@ -54,15 +55,20 @@
         content = body_hash(call["operation"], msgspec.json.encode(body))
         answer = self._kept.find(call, content)
         if answer is not None:
+            decisions.record(
+                call["key"], "kept", "not run again; kept answer", answer.use
+            )
             self._begin_answer(request, call, answer.use)
-            request.write(answer.body)
+            request.write(_rest(answer.body, call))
             _finish(request, answer.tokens)
             return
         chunks: list[bytes] = []
+        # The rest of an answer that another target began is not kept.
+        keep = call.get("keep_answer") and not call.get("resume_tokens")
 
         def pass_on(data: bytes) -> None:
             request.write(data)
-            if call.get("keep_answer"):
+            if keep:
                 chunks.append(data)
 
         try:
@@ -70,7 +76,7 @@
         except TargetFailedError as error:
             _break_off(request, error)
             return
-        if call.get("keep_answer"):
+        if keep:
             answer = KeptAnswer(200, b"".join(chunks), used, call["use"])
             self._kept.keep(call, content, answer)
         _finish(request, used)
@@ -88,11 +94,15 @@
             max_tokens=call["max_tokens"],
             priority=call["priority"],
         )
+        if "resume_tokens" in call:
+            engine_request["resume_tokens"] = call["resume_tokens"]
         readers: list[StreamReader] = []
 
         def start(reader: StreamReader) -> None:
             self._begin_answer(request, call, call["use"])
             readers.append(reader)
+            # A slow router slows the engine's stream down.
+            request.registerProducer(reader.transport, True)
             gone = request.notifyFinish()
             gone.addErrback(lambda _: reader.transport.loseConnection())
 
@@ -109,6 +119,8 @@
         finally:
             self.in_flight -= 1
             self._usage.end(call, used)
+            if not request._disconnected:
+                request.unregisterProducer()
         return used
 
     def _begin_answer(
@@ -121,6 +133,12 @@
         request.setHeader(b"content-type", EVENT_STREAM.encode())
 
 
+def _rest(body: bytes, call: CallHeader) -> bytes:
+    """Returns a kept answer without the events that the caller has."""
+    begun = call.get("resume_tokens", 0)
+    return body.split(EVENT_END, begun)[-1]
+
+
 def _finish(request: server.Request, tokens: int) -> None:
     """Ends an answer with the record that tells it whole."""
     end = EndRecord(outcome="done", tokens=tokens)
--- a/chicorystack/router/main.py
+++ b/chicorystack/router/main.py
@@ -31,12 +31,13 @@
 from chicorystack.platform.messages import Vm
 from chicorystack.platform.vm_list import VmListPoller
 from chicorystack.router.admission import Admission
-from chicorystack.router.attempts import Attempt, RepeatableAttempts
+from chicorystack.router.attempts import Attempt
 from chicorystack.router.auth import CustomerDirectory
 from chicorystack.router.dispatcher import Dispatcher
 from chicorystack.router.drain import Drain
 from chicorystack.router.forwarder import Forwarder
 from chicorystack.router.owner_attempts import OwnerAttempts
+from chicorystack.router.policies import Policy
 from chicorystack.router.resources import caller_tree
 from chicorystack.router.settler import Settler
 from chicorystack.routing.targets import TargetTable
@@ -65,7 +66,9 @@
             reactor, self._client, settings.vm_list_url
         )
         presence = Presence(reactor)
-        self._targets = TargetTable(settings.data_centre, presence)
+        self._targets = TargetTable(
+            settings.data_centre, settings.name, presence
+        )
         self._reports = ReportPoller(
             reactor, self._client, presence, self._agent_urls
         )
@@ -104,18 +107,17 @@
             self._targets.has_target,
         )
         settler = Settler(reactor, self._client, self._targets, self._budgets)
-        attempt = Attempt(
-            reactor,
-            self._targets,
-            Forwarder(reactor, settings.fleet_token),
-            settler,
+        self._policy = Policy(reactor, settings, self._targets)
+        forwarder = Forwarder(
+            reactor, settings.fleet_token, self._policy.note_answer
         )
+        attempt = Attempt(reactor, self._targets, forwarder, settler)
         self._dispatcher = Dispatcher(
             reactor,
             self._store,
             admission,
             settler,
-            RepeatableAttempts(reactor, self._targets, attempt),
+            self._policy.attempts(attempt),
             OwnerAttempts(reactor, self._targets, attempt),
         )
         self._drain = Drain(
@@ -150,6 +152,7 @@
         self._config.start()
         self._vm_list.start()
         self._reports.on_report(self._note_report)
+        self._reports.on_silence(self._policy.note_silence)
         self._reports.start()
         self._budgets.start()
         self._keeper.start()
@@ -229,11 +232,18 @@
         self._reports.poll()
 
     def _agent_urls(self) -> dict[str, str]:
-        targets = self._targets.target_by_name.values()
-        return {target.name: target.url for target in targets}
+        """Returns the URLs of the agents that this router works with."""
+        site = self._store.config.site_by_name.get(self._settings.site)
+        services = site.service_by_name.values() if site else ()
+        return {
+            target.name: target.url
+            for service in services
+            for target in self._targets.of_interest(service)
+        }
 
     def _note_report(self, report: LoadReport) -> None:
         self._config.peers.note_version(report["config_version"])
+        self._policy.note_report(report)
 
 
 def run(settings: RouterSettings) -> None:
--- a/chicorystack/standin/engine.py
+++ b/chicorystack/standin/engine.py
@@ -14,6 +14,7 @@
     EngineRequest,
     EngineUsage,
 )
+from chicorystack.standin.slots import PrioritySlots
 from chicorystack.util import stable_hash
 from chicorystack.web.server import (
     JsonEndpoint,
@@ -59,10 +60,18 @@
 
     isLeaf = True
 
-    def __init__(self, clock, slots: int, first_token_s: float, gap_s: float):
+    def __init__(
+        self,
+        clock,
+        slots: int,
+        first_token_s: float,
+        gap_s: float,
+        answer_tokens: int = 0,
+    ):
         super().__init__()
+        self._answer_tokens = answer_tokens
         self._clock = clock
-        self._slots = defer.DeferredSemaphore(slots)
+        self._slots = PrioritySlots(slots)
         self._first_token_s = first_token_s
         self._gap_s = gap_s
         self._faults = EngineFaults(slowdown=1.0, break_after=0)
@@ -90,7 +99,7 @@
         message = read_body(request, EngineRequest)
         self._load["queued"] += 1
         try:
-            await self._slots.acquire()
+            await self._slots.acquire(message["priority"])
         finally:
             self._load["queued"] -= 1
         self._load["running"] += 1
@@ -107,20 +116,22 @@
         self, request: server.Request, message: EngineRequest
     ) -> None:
         request.setHeader(b"content-type", EVENT_STREAM.encode())
-        await self._pause(self._first_token_s)
+        due = await self._pause(self._clock.seconds(), self._first_token_s)
         generated = message.get("resume_tokens", 0)
-        for index, word in enumerate(generate_words(message)):
+        for index, word in enumerate(
+            generate_words(message, self._answer_tokens)
+        ):
             if index < generated:
                 continue
             request.write(b"data: " + encoder.encode({"text": word}) + b"\n\n")
             if index + 1 == self._faults["break_after"]:
                 request.transport.abortConnection()
                 return
-            await self._pause(self._gap_s)
+            due = await self._pause(due, self._gap_s)
         usage = EngineUsage(
             done=True,
             prompt_tokens=count_prompt_tokens(message["prompt"]),
-            completion_tokens=answer_length(message),
+            completion_tokens=answer_length(message, self._answer_tokens),
         )
         request.write(b"data: " + encoder.encode(usage) + b"\n\n")
         request.finish()
@@ -129,8 +140,15 @@
             usage["prompt_tokens"] + usage["completion_tokens"]
         )
 
-    async def _pause(self, seconds: float) -> None:
-        await task.deferLater(self._clock, seconds * self._faults["slowdown"])
+    async def _pause(self, due: float, seconds: float) -> float:
+        """Pauses for a time after `due`; returns when the pause was to end.
+
+        Lateness of one token thus does not add up over a stream.
+        """
+        due += seconds * self._faults["slowdown"]
+        delay = max(0.0, due - self._clock.seconds())
+        await task.deferLater(self._clock, delay)
+        return due
 
 
 def count_prompt_tokens(prompt: str) -> int:
@@ -138,16 +156,16 @@
     return -(-len(prompt.encode()) // BYTES_PER_TOKEN)
 
 
-def answer_length(message: EngineRequest) -> int:
+def answer_length(message: EngineRequest, fixed: int = 0) -> int:
     """Returns how many tokens the answer has; the same for equal prompts."""
-    natural = 8 + stable_hash(message["prompt"]) % 56
+    natural = fixed or 8 + stable_hash(message["prompt"]) % 56
     return min(natural, message["max_tokens"])
 
 
-def generate_words(message: EngineRequest) -> Iterator[str]:
+def generate_words(message: EngineRequest, fixed: int = 0) -> Iterator[str]:
     """Yields the answer's words; the same for equal prompts."""
     seed = stable_hash(message["prompt"])
-    for index in range(answer_length(message)):
+    for index in range(answer_length(message, fixed)):
         yield WORDS[(seed + index) % len(WORDS)] + " "
 
 
