Keep intents, results and tombstones in the log, so that they outlive agents

Cause: what an owner ran stood in its agent's memory alone; a restarted agent ran a key again, and a tombstone was forgotten with its process. Change: each target's owner claims its stream runs-<target>; its records count only while no other claim follows, and a call runs only after its intent was read back under the own claim. A successor answers 'unknown' for intents without a result, gives noted answers (up to 2 KB), and refuses noted tombstones. One append at a time for each owner, paced so that all owners of the fleet stay within 100 appends a second; every 5 s one shows its presence. After 35 s of an outage that it has itself seen the owner goes on from memory for at most 30 minutes and appends afterwards; a successor that finds a silence above 25 s answers 'unknown' for all keys that the log does not know, for the window. A planned stop releases the keys and leaves no doubt.

--- a/chicorystack/agent/main.py
+++ b/chicorystack/agent/main.py
@@ -11,8 +11,10 @@
 from chicorystack.agent.target_client import TargetClient
 from chicorystack.calls.kept_streams import KeptStreams
 from chicorystack.calls.messages import Empty, EngineLoad
+from chicorystack.calls.run_journal import RunJournal, append_interval_s
 from chicorystack.calls.run_table import RunTable
 from chicorystack.calls.usage_table import SettleRequest, UsageTable
+from chicorystack.config.model import FleetConfig
 from chicorystack.config.peers import PeerPoller, config_peers
 from chicorystack.config.store import ConfigStore
 from chicorystack.errors import ApiError
@@ -24,6 +26,7 @@
 )
 from chicorystack.observe.logs import part_logger, setup_logs
 from chicorystack.observe.metrics import start_metrics
+from chicorystack.platform.log_client import LogClient
 from chicorystack.platform.vm_list import VmListPoller
 from chicorystack.settings.command_line import run_program
 from chicorystack.settings.loader import settings_command
@@ -59,11 +62,21 @@
         target = TargetClient(make_http_agent(reactor), settings.target_url)
         authorize = fleet_authorizer(settings.fleet_token)
         usage = UsageTable(reactor)
+        self._journal = RunJournal(
+            reactor,
+            LogClient(reactor, self._client, settings.log_url),
+            settings.name,
+        )
+        self._service_calls = ServiceCalls(
+            reactor, target, RunTable(reactor), usage, self._journal
+        )
+        self._journal.on_active(self._service_calls.take_over)
+        self._store.on_change(self._start_journal)
         self._gate = Gate(
             settings,
             self._store,
             Generations(target, usage, KeptStreams(reactor)),
-            ServiceCalls(reactor, target, RunTable(reactor), usage),
+            self._service_calls,
             authorize,
             self._config_peers.note_version,
         )
@@ -88,8 +101,22 @@
         self._gate.draining = True
         while self._gate.in_flight:
             await task.deferLater(reactor, defaults.DRAIN_CHECK_S)
+        await self._release()
         reactor.stop()
 
+    async def _release(self) -> None:
+        try:
+            await self._journal.release()
+        except (UnreachableError, ApiError) as error:
+            log.warning("the keys were not released: {}", error)
+
+    def _start_journal(self, config: FleetConfig) -> None:
+        settings = self._settings
+        service = config.service(settings.site, settings.service)
+        if service is not None and service.runs_once:
+            self._journal.append_interval_s = append_interval_s(config)
+            self._journal.start()
+
     def _readiness(self) -> Readiness:
         version = self._store.config.version
         readiness = Readiness(ready=True, config_version=version)
--- a/chicorystack/config/model.py
+++ b/chicorystack/config/model.py
@@ -95,6 +95,12 @@
     depends_on: tuple[str, ...] = ()
     max_in_flight: int = defaults.MAX_IN_FLIGHT_PER_TARGET
 
+    @property
+    def runs_once(self) -> bool:
+        """Whether it has an operation that may not be repeated."""
+        operations = self.operation_by_name.values()
+        return not all(operation.repeatable for operation in operations)
+
 
 class Site(NamedTuple):
     """One site with its data centres and services."""
--- a/chicorystack/defaults.py
+++ b/chicorystack/defaults.py
@@ -28,6 +28,21 @@
 MAX_CALL_TIMEOUT_MS = 300_000
 RETRY_AFTER_MS = 1_000
 KEY_WINDOW_S = 600.0
+# Runs in the log. An owner appends at least so often while the log answers.
+OWNER_PRESENCE_S = 5.0
+# Longest silence of a lost owner that leaves no doubt about its last runs.
+OWNER_SILENCE_S = 25.0
+# Outage of the log after which an owner runs calls from memory, and for how
+# long at most. Has to exceed OWNER_SILENCE_S by more than clocks can drift.
+OWNER_MEMORY_AFTER_S = 35.0
+OWNER_MEMORY_MAX_S = 1_800.0
+# Most that one failed append counts towards an outage.
+OUTAGE_STEP_MAX_S = 4.0
+RUN_APPEND_INTERVAL_S = 0.02
+RUN_NOTES_PER_APPEND = 500
+# Appends a second that all owners of the fleet may make together.
+FLEET_RUN_APPENDS_PER_S = 100.0
+NOTED_BODY_MAX_BYTES = 2_048
 # Least time that the owner of a key gets to say what became of it.
 REFUSAL_TIMEOUT_S = 2.0
 
