--- a/chicorystack/agent/service_calls.py
+++ b/chicorystack/agent/service_calls.py
@@ -109,13 +109,10 @@
 
     def _begin(self, call: CallHeader, content: str) -> bool:
         """Marks a call and its use as started; False where it is known."""
-        self._usage.begin(call["use"])
-        started = False
-        try:
-            started = self._runs.begin(call, content)
-        finally:
-            if not started:
-                self._usage.end(call["use"], 0)
+        self._usage.check_open(call["use"])
+        started = self._runs.begin(call, content)
+        if started:
+            self._usage.begin(call["use"])
         return started
 
     def _refuse(self, call: CallHeader, content: str) -> str:
--- a/chicorystack/calls/usage_table.py
+++ b/chicorystack/calls/usage_table.py
@@ -61,6 +61,15 @@
         self._started_at = clock.seconds()
         self._use_by_id: dict[str, _Use] = {}
 
+    def check_open(self, use_id: str) -> None:
+        """Raises ApiError where the run's router closed it."""
+        self._forget_old()
+        use = self._use_by_id.get(use_id)
+        if use is not None and use.state == "never_ran":
+            raise ApiError(
+                "refused_for_good", "the router has given up on this run"
+            )
+
     def begin(
         self, use_id: str, cancel: Callable[[], None] | None = None
     ) -> None:
@@ -69,12 +78,8 @@
         Raises:
             ApiError: `refused_for_good` where its router closed it before.
         """
-        self._forget_old()
+        self.check_open(use_id)
         use = self._use_by_id.get(use_id)
-        if use is not None and use.state == "never_ran":
-            raise ApiError(
-                "refused_for_good", "the router has given up on this run"
-            )
         tokens = 0 if use is None else use.tokens
         self._put(use_id, _Use("running", tokens, self._forget_at(), cancel))
 
--- a/chicorystack/errors.py
+++ b/chicorystack/errors.py
@@ -29,7 +29,6 @@
     "epoch_closed": 409,
     "refused_for_good": 409,
     "answer_forgotten": 410,
-    "key_expired": 409,
     "outcome_unknown": 504,
     "deadline_exceeded": 504,
     "target_failed": 502,
