--- a/chicorystack/agent/generations.py
+++ b/chicorystack/agent/generations.py
@@ -12,6 +12,7 @@
     TargetClient,
     TargetFailedError,
 )
+from chicorystack.agent.usage_table import AgentUsage
 from chicorystack.calls.kept_streams import KeptStreams
 from chicorystack.calls.messages import (
     END_EVENT_PREFIX,
@@ -24,8 +25,8 @@
     GenerateBody,
 )
 from chicorystack.calls.run_table import KeptAnswer, body_hash
-from chicorystack.calls.usage_table import UsageTable
 from chicorystack.errors import ApiError
+from chicorystack.observe.decisions import decisions
 from chicorystack.observe.logs import part_logger
 from chicorystack.web.server import read_body
 
@@ -41,7 +42,7 @@
     """
 
     def __init__(
-        self, target: TargetClient, usage: UsageTable, kept: KeptStreams
+        self, target: TargetClient, usage: AgentUsage, kept: KeptStreams
     ):
         self._target = target
         self._usage = usage
@@ -54,6 +55,9 @@
         content = body_hash(call["operation"], msgspec.json.encode(body))
         answer = self._kept.find(call, content)
         if answer is not None:
+            decisions.record(
+                call["key"], "kept", "not run again; kept answer", answer.use
+            )
             self._begin_answer(request, call, answer.use)
             request.write(_rest(answer.body, call))
             _finish(request, answer.tokens)
@@ -102,7 +106,7 @@
             gone = request.notifyFinish()
             gone.addErrback(lambda _: reader.transport.loseConnection())
 
-        self._usage.begin(call["use"], request.transport.abortConnection)
+        self._usage.begin(call, request.transport.abortConnection)
         self.in_flight += 1
         used = 0
         try:
@@ -114,7 +118,7 @@
             raise
         finally:
             self.in_flight -= 1
-            self._usage.end(call["use"], used)
+            self._usage.end(call, used)
             if not request._disconnected:
                 request.unregisterProducer()
         return used
--- a/chicorystack/agent/service_calls.py
+++ b/chicorystack/agent/service_calls.py
@@ -8,6 +8,7 @@
 from chicorystack import defaults
 from chicorystack.agent.answers import send_answer
 from chicorystack.agent.target_client import TargetClient, TargetFailedError
+from chicorystack.agent.usage_table import AgentUsage
 from chicorystack.calls.messages import CallHeader
 from chicorystack.calls.run_journal import NotOwnerError
 from chicorystack.calls.run_records import (
@@ -17,7 +18,6 @@
     run_of_note,
 )
 from chicorystack.calls.run_table import KeptAnswer, RunTable, body_hash
-from chicorystack.calls.usage_table import UsageTable
 from chicorystack.errors import ApiError
 from chicorystack.observe.decisions import decisions
 from chicorystack.observe.logs import part_logger
@@ -47,7 +47,7 @@
         clock,
         target: TargetClient,
         runs: RunTable,
-        usage: UsageTable,
+        usage: AgentUsage,
         journal: Journal,
     ):
         self._clock = clock
@@ -61,7 +61,7 @@
         self, request: server.Request, call: CallHeader
     ) -> None:
         """Runs a call that may be repeated."""
-        self._usage.begin(call["use"])
+        self._usage.begin(call)
         self.in_flight += 1
         try:
             answer = await self._run(call, _body(request))
@@ -109,10 +109,10 @@
 
     def _begin(self, call: CallHeader, content: str) -> bool:
         """Marks a call and its use as started; False where it is known."""
-        self._usage.check_open(call["use"])
+        self._usage.check_open(call)
         started = self._runs.begin(call, content)
         if started:
-            self._usage.begin(call["use"])
+            self._usage.begin(call)
         return started
 
     def _refuse(self, call: CallHeader, content: str) -> str:
@@ -168,11 +168,11 @@
         try:
             await self._journal.note(intent)
         except NotOwnerError:
-            self._usage.end(call["use"], 0)
+            self._usage.end(call, 0)
             self._runs.finish(key, None)
             return
         if self._clock.seconds() >= deadline:
-            self._usage.end(call["use"], 0)
+            self._usage.end(call, 0)
             self._runs.withdraw(key)
             await self._note_refusal(key, content)
             return
@@ -195,7 +195,7 @@
         except TargetFailedError as error:
             raise ApiError("target_failed", str(error)) from error
         finally:
-            self._usage.end(call["use"], used)
+            self._usage.end(call, used)
         return KeptAnswer(status, answer, call["cost_tokens"], call["use"])
 
 
--- a/chicorystack/budget/keeper.py
+++ b/chicorystack/budget/keeper.py
@@ -7,8 +7,12 @@
 is settled.
 """
 
+import math
 from collections import defaultdict
+from collections.abc import Iterable, Iterator
+from typing import NamedTuple
 
+from chicorystack import defaults
 from chicorystack.budget.ledger import ShardLedger
 from chicorystack.budget.messages import (
     BudgetView,
@@ -20,6 +24,20 @@
 from chicorystack.observe.invariants import require
 
 
+class Demand(NamedTuple):
+    """A holder's wish for tokens of a budget.
+
+    Attributes:
+        holder: The holder.
+        budget: Budget's id.
+        wanted: Least number of tokens that helps.
+    """
+
+    holder: str
+    budget: str
+    wanted: int
+
+
 class ShardKeeper:
     """One router's keeper duty for one shard in one epoch.
 
@@ -31,6 +49,8 @@
             still be spent by someone.
         number_by_holder: Number of each holder's newest exchange; a holder
             is registered in this epoch once it is here.
+        giving_up: Holders that are being given up; the log may not say so
+            yet.
     """
 
     def __init__(self, ledger: ShardLedger, epoch: int, policy: SharingPolicy):
@@ -41,11 +61,15 @@
             dict
         )
         self.unsettled_by_budget: dict[str, int] = {
-            budget: state.committed - state.billed
+            budget: state.outstanding
             for budget, state in ledger.budget_by_id.items()
-            if state.committed > state.billed
+            if state.outstanding
         }
         self.number_by_holder: dict[str, int] = {}
+        self.giving_up: set[str] = set()
+        self._use_by_budget: defaultdict[str, dict[str, float]] = defaultdict(
+            dict
+        )
         ledger.on_bill(self._deduct_bill)
 
     @property
@@ -58,13 +82,58 @@
         state = self.ledger.budget(budget)
         held = sum(self.held_by_budget[budget].values())
         unsettled = self.unsettled_by_budget.get(budget, 0)
-        return state.committed - state.billed - held - unsettled
+        return state.outstanding - held - unsettled
 
     def remaining(self, budget: str) -> int:
         """Returns tokens that nobody holds, committed or not."""
         state = self.ledger.budget(budget)
         return state.topped_up - state.committed + self.free(budget)
 
+    def held(self, budget: str, holder: str) -> int:
+        """Returns tokens that a holder holds."""
+        return self.held_by_budget[budget].get(holder, 0)
+
+    def unspent(self, budget: str) -> int:
+        """Returns tokens that nobody or a registered holder holds."""
+        held = sum(self.held_by_budget[budget].values())
+        return self.remaining(budget) + held
+
+    def share_of_use(self, budget: str, holder: str) -> float:
+        """Returns a holder's share of recent use, from 0 to 1."""
+        use_by_holder = self._use_by_budget[budget]
+        if not use_by_holder:
+            return 1 / self.user_count(budget)
+        return use_by_holder.get(holder, 0.0) / sum(use_by_holder.values())
+
+    def user_count(self, budget: str) -> int:
+        """Returns the number of holders that used the budget recently."""
+        users = set(self._use_by_budget[budget])
+        users |= {
+            holder
+            for holder, tokens in self.held_by_budget[budget].items()
+            if tokens
+        }
+        return max(2, len(users))
+
+    def _note_use(self, bill: Usage, holder: str) -> None:
+        """Lets older use fade as the budget is spent."""
+        topped_up = self.ledger.budget(bill.budget).topped_up
+        memory = max(1.0, topped_up * defaults.USE_MEMORY_PART)
+        kept = math.exp(-bill.tokens / memory)
+        faded = {
+            name: use * kept
+            for name, use in self._use_by_budget[bill.budget].items()
+            if use * kept >= defaults.LEAST_USE_TOKENS
+        }
+        faded[holder] = faded.get(holder, 0.0) + bill.tokens
+        self._use_by_budget[bill.budget] = faded
+
+    def others_holding(self, budget: str, holder: str) -> list[str]:
+        """Returns other holders of a budget, those that hold most first."""
+        held = self.held_by_budget[budget]
+        others = [name for name in held if name != holder and held[name] > 0]
+        return sorted(others, key=lambda name: -held[name])
+
     def grant(self, holder: str, budget: str, wanted: int) -> int:
         """Hands out tokens from those committed and free.
 
@@ -75,23 +144,84 @@
         free = self.free(budget)
         if free < wanted:
             return 0
+        require(
+            "holder_known_in_log",
+            holder in self.ledger.router_by_holder,
+            f"{budget}: {holder} is not in the log",
+        )
         size = self._policy.grant_size(self, holder, budget, wanted)
         tokens = max(wanted, min(free, size))
+        if not tokens:
+            return 0
         held = self.held_by_budget[budget]
         held[holder] = held.get(holder, 0) + tokens
         self.check(budget)
         return tokens
 
-    def commit_target(self, holder: str, budget: str, wanted: int) -> int:
-        """Returns the bound to append so that `wanted` can be handed out.
+    def lacks_for_growth(self, holder: str, budget: str) -> bool:
+        """Tells whether more must be committed for a holder's share."""
+        size = self._policy.grant_size(self, holder, budget, 0)
+        return self.free(budget) < min(size, self.remaining(budget))
+
+    def commitments(self, demands: Iterable[Demand]) -> dict[str, int]:
+        """Returns the bounds to append so that demands can be met.
 
-        It does not exceed the top-ups; where it equals the present bound the
-        budget can't pay.
+        None exceeds the top-ups; a budget that can't pay more is left out.
         """
-        state = self.ledger.budget(budget)
-        size = self._policy.grant_size(self, holder, budget, wanted)
-        lacking = max(0, max(wanted, size) - self.free(budget))
-        return min(state.topped_up, state.committed + lacking)
+        size_by_budget: defaultdict[str, int] = defaultdict(int)
+        for holder, budget, wanted in demands:
+            size = self._policy.grant_size(self, holder, budget, wanted)
+            size_by_budget[budget] += max(wanted, size)
+        return dict(self._raised_bounds(size_by_budget))
+
+    def _raised_bounds(
+        self, size_by_budget: dict[str, int]
+    ) -> Iterator[tuple[str, int]]:
+        for budget, size in size_by_budget.items():
+            state = self.ledger.budget(budget)
+            lacking = max(0, size - self.free(budget))
+            bound = min(state.topped_up, state.committed + lacking)
+            if bound > state.committed:
+                yield budget, bound
+
+    @property
+    def unsettled(self) -> int:
+        """Tokens of all budgets that are unsettled."""
+        return sum(self.unsettled_by_budget.values())
+
+    @property
+    def unregistered(self) -> list[str]:
+        """Holders that may hold tokens and have not stated them."""
+        return [
+            holder
+            for holder in self.ledger.router_by_holder
+            if holder not in self.number_by_holder
+        ]
+
+    def holds(self, holder: str) -> bool:
+        """Tells whether a registered holder holds any tokens."""
+        return any(held.get(holder) for held in self.held_by_budget.values())
+
+    def is_void(self, exchange: Exchange) -> bool:
+        """Tells whether a holder was given up and does not know it."""
+        holder = exchange["holder"]
+        if holder in self.number_by_holder:
+            return False
+        known = holder in self.ledger.router_by_holder
+        was_registered = exchange["registered_epoch"] > 0
+        return holder in self.giving_up or (was_registered and not known)
+
+    def end_settlement(self) -> None:
+        """Frees what is unsettled, once the log says that it is settled."""
+        require(
+            "settled_under_own_epoch",
+            self.in_force and self.ledger.settled_epoch == self.epoch - 1,
+            f"epoch {self.epoch}, settled {self.ledger.settled_epoch}",
+        )
+        self.unsettled_by_budget = {}
+        self.giving_up = set()
+        for budget in self.ledger.budget_by_id:
+            self.check(budget)
 
     def take_statement(self, exchange: Exchange) -> bool:
         """Takes over what a holder says that it holds.
@@ -168,12 +298,18 @@
         if holder in self.number_by_holder:
             held = self.held_by_budget[bill.budget]
             held[holder] = held.get(holder, 0) - bill.tokens
+            self._note_use(bill, holder)
         else:
             self._move_from_unsettled(bill.budget, bill.tokens)
         self.check(bill.budget)
 
-    def view(self, budget: str) -> BudgetView:
-        """Returns the budget as operators see it."""
+    def view(self, budget: str, reason: str = "") -> BudgetView:
+        """Returns the budget as operators see it.
+
+        Args:
+            budget: Budget's id.
+            reason: What the settlement of older epochs waits for.
+        """
         state = self.ledger.budget(budget)
         unsettled = self.unsettled_by_budget.get(budget, 0)
         view = BudgetView(
@@ -181,11 +317,17 @@
             topped_up=state.topped_up,
             billed=state.billed,
             held=sum(self.held_by_budget[budget].values()),
-            unsettled=unsettled,
+            unsettled=unsettled + state.stranded,
             free=self.remaining(budget),
         )
+        reasons = []
         if unsettled:
-            view["reason"] = "committed before the present keeper's epoch"
+            reasons.append(reason or "waits for the holders of older epochs")
+        if state.stranded:
+            stranded = self.ledger.stranded_reason
+            reasons.append(f"{state.stranded} stranded: {stranded}")
+        if reasons:
+            view["reason"] = "; ".join(reasons)
         return view
 
     def check(self, budget: str) -> None:
--- a/chicorystack/router/admission.py
+++ b/chicorystack/router/admission.py
@@ -62,11 +62,13 @@
             service=self.service.name,
             operation=self.operation.name,
             customer=self.customer,
+            budget=self.budget,
             key=self.key,
             repeatable=self.operation.repeatable,
             shard=self.shard,
             epoch=reservation.epoch,
             use=reservation.use,
+            settled_below=reservation.settled_below,
             reserved=reservation.tokens,
             cost_tokens=self.operation.cost_tokens,
             max_tokens=self.max_tokens,
@@ -145,6 +147,15 @@
             min(call.deadline, wait_until),
         )
 
+    async def restate(
+        self, call: Call, reservation: Reservation
+    ) -> Reservation:
+        """Brings a reservation into the present epoch; raises ApiError."""
+        wait_until = self._clock.seconds() + defaults.GRANT_WAIT_S
+        return await self._budgets.restate(
+            reservation, min(call.deadline, wait_until)
+        )
+
     def _check_dependencies(
         self, config: FleetConfig, service: Service
     ) -> None:
