--- a/chicorystack/routing/health.py
+++ b/chicorystack/routing/health.py
@@ -96,11 +96,6 @@
         if name in self._health_by_target:
             self._put(name, self._health(name)._replace(silent=False))
 
-    def forget_others(self, names: set[str]) -> None:
-        """Drops what is known of targets that are no longer there."""
-        for name in set(self._health_by_target) - names:
-            del self._health_by_target[name]
-
     def _health(self, name: str) -> TargetHealth:
         return self._health_by_target.get(name, TargetHealth())
 
