--- a/chicorystack/router/attempts.py
+++ b/chicorystack/router/attempts.py
@@ -70,6 +70,7 @@
         header = call.header(reservation, self._clock.seconds())
         if progress.events:
             header["resume_tokens"] = progress.events
+        asked_at = self._clock.seconds()
         self._targets.note_sent(target.name, +1)
         if reservation.use:
             self._settler.note_sent(reservation.use, target)
@@ -85,6 +86,8 @@
             decisions.record_notable(
                 call.key, "attempts", f"failed at {target.name}", str(error)
             )
+            if error.refusal and error.refusal.code == "draining":
+                self._targets.note_refused(target.name, asked_at)
             raise
         finally:
             self._targets.note_sent(target.name, -1)
--- a/chicorystack/router/policies.py
+++ b/chicorystack/router/policies.py
@@ -3,13 +3,11 @@
 import random
 from collections.abc import Callable
 
-from chicorystack.calls.messages import AnswerHeader
-from chicorystack.config.store import ConfigStore
+from chicorystack.calls.messages import AnswerHeader, LoadReport
 from chicorystack.router.attempts import Attempt, Attempts
 from chicorystack.router.plain_attempts import PlainAttempts
 from chicorystack.router.repeatable_attempts import RepeatableAttempts
 from chicorystack.routing.call_queue import CallQueues
-from chicorystack.routing.load_poller import LoadPoller
 from chicorystack.routing.pickers import (
     LeastSent,
     Picker,
@@ -19,24 +17,17 @@
 from chicorystack.routing.targets import TargetTable
 from chicorystack.routing.timings import Timings
 from chicorystack.settings.types import PickerName, RouterSettings
-from chicorystack.web.client import JsonClient
 
 PLAIN_PICKERS = ("round_robin", "least_sent")
 
 
 class Policy:
-    """A router's way to choose targets.
-
-    Attributes:
-        poller: Polls the targets' load.
-    """
+    """A router's way to choose targets."""
 
     def __init__(
         self,
         clock,
         settings: RouterSettings,
-        store: ConfigStore,
-        client: JsonClient,
         targets: TargetTable,
     ):
         self._clock = clock
@@ -46,9 +37,6 @@
         make_picker = picker_factory(settings)
         self._picker = make_picker()
         self._queues = CallQueues(clock, targets, make_picker, self._timings)
-        self.poller = LoadPoller(
-            clock, client, store, settings.site, targets, self._queues
-        )
 
     def attempts(self, attempt: Attempt) -> Attempts:
         """Returns the attempts at repeatable calls."""
@@ -68,6 +56,15 @@
                 name, answer["in_flight"], self._clock.seconds()
             )
 
+    def note_report(self, report: LoadReport) -> None:
+        """Takes an agent's load report."""
+        name = report["target"]
+        if name not in self._targets.target_by_name:
+            return
+        service = self._targets.target_by_name[name].service
+        self._queues.health(service).note_report(name)
+        self._targets.note_report(report, self._clock.seconds())
+
 
 def picker_factory(settings: RouterSettings) -> Callable[[], Picker]:
     """Returns what makes the pickers that the settings name."""
--- a/chicorystack/routing/targets.py
+++ b/chicorystack/routing/targets.py
@@ -6,6 +6,7 @@
 from chicorystack import defaults
 from chicorystack.calls.messages import LoadReport
 from chicorystack.config.model import FleetConfig, Service
+from chicorystack.membership.presence import Presence
 from chicorystack.platform.messages import Vm
 from chicorystack.util import rendezvous_order
 
@@ -22,7 +23,6 @@
         service: Service that it offers.
         limit: Most calls in flight there from all routers.
         others: Calls of other routers there, when last reported.
-        ready: Whether its agent takes calls, when last reported.
         reported_at: Time on the router's clock of the last report.
     """
 
@@ -34,7 +34,6 @@
     service: str = ""
     limit: int = defaults.MAX_IN_FLIGHT_PER_TARGET
     others: int = 0
-    ready: bool = True
     reported_at: float = 0.0
 
     @property
@@ -55,8 +54,9 @@
         target_by_name: Targets that are in both.
     """
 
-    def __init__(self, data_centre: str, router: str = ""):
+    def __init__(self, data_centre: str, presence: Presence, router: str = ""):
         self._data_centre = data_centre
+        self._presence = presence
         self._router = router
         self._room_listeners: list[Callable[[str], None]] = []
         self.target_by_name: dict[str, TargetState] = {}
@@ -70,6 +70,7 @@
         self, config: FleetConfig, site: str, vm_by_name: dict[str, Vm]
     ) -> None:
         """Takes over a new configuration or VM list."""
+        self._presence.take_vm_list(vm_by_name)
         earlier = self.target_by_name
         self.target_by_name = {}
         if site not in config.site_by_name:
@@ -122,9 +123,21 @@
         return [
             target
             for target in self.subset(service)
-            if target.ready and not target.leaving and target.name not in tried
+            if self.takes_work(target.name) and target.name not in tried
         ]
 
+    def has_target(self, service: Service) -> bool:
+        """Tells whether any target of a service takes work."""
+        return any(map(self._presence.takes_work, service.target_by_name))
+
+    def takes_work(self, name: str) -> bool:
+        """Tells whether a target may be sent new work now."""
+        return self._presence.takes_work(name)
+
+    def note_refused(self, name: str, asked_at: float) -> None:
+        """Notes that a target's agent refused new work."""
+        self._presence.take_word(name, False, asked_at)
+
     def owner(self, service: Service, key: str) -> TargetState | None:
         """Returns the one target that may run an unrepeatable call."""
         order = rendezvous_order(key, service.target_by_name)
@@ -155,9 +168,7 @@
         if name not in self.target_by_name:
             return
         self.note_in_flight(name, report["in_flight"], now)
-        target = self.target_by_name[name]._replace(ready=report["ready"])
-        self.target_by_name[name] = target
-        self._tell_room(target.service)
+        self._tell_room(self.target_by_name[name].service)
 
     def note_full(self, name: str, now: float) -> None:
         """Takes an agent's refusal for want of room."""
--- a/tests/routing/test_call_queue.py
+++ b/tests/routing/test_call_queue.py
@@ -43,12 +43,22 @@
 ANSWER_S = 1.0
 
 
+class AllPresent:
+    """Stands for a presence whose targets all take work."""
+
+    def take_vm_list(self, vm_by_name):
+        pass
+
+    def takes_work(self, name):
+        return name in NAMES
+
+
 class Bench:
     """A queue with three targets, and the calls that it has granted."""
 
     def __init__(self):
         self.clock = Clock()
-        self.targets = TargetTable("dc-0")
+        self.targets = TargetTable("dc-0", AllPresent())
         vm_by_name = {
             name: Vm(
                 name=name, role="agent", site="here", address="127.0.0.1",
--- a/tests/web/test_fuzz.py
+++ b/tests/web/test_fuzz.py
@@ -9,6 +9,7 @@
 from twisted.internet import task
 
 from chicorystack.agent.gate import Gate
+from chicorystack.agent.leaving import LeavingState
 from chicorystack.budget.keeper_service import KeeperService
 from chicorystack.budget.messages import (
     BudgetsReply,
@@ -105,7 +106,9 @@
 def caller_wire():
     clock, store, budgets = task.Clock(), make_store(), FakeBudgets()
     customers = CustomerDirectory(clock, budgets)
-    admission = Admission(clock, "dk-east", customers, budgets)
+    admission = Admission(
+        clock, "dk-east", customers, budgets, lambda _service: True
+    )
     attempts = FakeAttempts()
     dispatcher = Dispatcher(
         clock, store, admission, budgets, attempts, attempts
@@ -123,7 +126,13 @@
     keeper = KeeperService(task.Clock(), None, "r", "u", dict)
     service = FakeService()
     gate = Gate(
-        AgentSettingsStub, store, service, service, authorize, lambda _: None
+        AgentSettingsStub,
+        store,
+        service,
+        service,
+        authorize,
+        lambda _: None,
+        LeavingState(task.Clock()),
     )
 
     async def answer_config(query) -> ConfigInForce:
