--- a/chicorystack/membership/reports.py
+++ b/chicorystack/membership/reports.py
@@ -34,7 +34,8 @@
         self._url_by_name = url_by_name
         self._asking: set[str] = set()
         self._asked: set[str] = set()
-        self._listeners: list[Callable[[LoadReport], None]] = []
+        self._report_listeners: list[Callable[[LoadReport], None]] = []
+        self._silence_listeners: list[Callable[[str], None]] = []
         self._loop = task.LoopingCall(self.poll)
         self._loop.clock = reactor
 
@@ -45,7 +46,11 @@
 
     def on_report(self, listener: Callable[[LoadReport], None]) -> None:
         """Calls listener with each report."""
-        self._listeners.append(listener)
+        self._report_listeners.append(listener)
+
+    def on_silence(self, listener: Callable[[str], None]) -> None:
+        """Calls listener with the name of each target that did not answer."""
+        self._silence_listeners.append(listener)
 
     def start(self) -> None:
         """Begins to poll."""
@@ -75,6 +80,8 @@
             )
         except (UnreachableError, ApiError) as error:
             log.debug("agent {} did not answer: {}", name, error)
+            for listener in self._silence_listeners:
+                listener(name)
             return
         finally:
             self._asking.discard(name)
@@ -83,7 +90,7 @@
             # The address has passed to another VM.
             return
         self._presence.take_word(name, report["ready"], asked_at)
-        for listener in self._listeners:
+        for listener in self._report_listeners:
             listener(report)
 
 
--- a/chicorystack/router/attempts.py
+++ b/chicorystack/router/attempts.py
@@ -68,9 +68,9 @@
         """
         progress = progress or Progress()
         header = call.header(reservation, self._clock.seconds())
+        asked_at = self._clock.seconds()
         if progress.events:
             header["resume_tokens"] = progress.events
-        asked_at = self._clock.seconds()
         self._targets.note_sent(target.name, +1)
         if reservation.use:
             self._settler.note_sent(reservation.use, target)
--- a/chicorystack/router/main.py
+++ b/chicorystack/router/main.py
@@ -63,7 +63,7 @@
         )
         presence = Presence(reactor)
         self._targets = TargetTable(
-            settings.data_centre, presence, settings.name
+            settings.data_centre, settings.name, presence
         )
         self._reports = ReportPoller(
             reactor, self._client, presence, self._agent_urls
@@ -145,7 +145,7 @@
         self._config.start()
         self._vm_list.start()
         self._reports.on_report(self._note_report)
-        self._reports.on_report(self._policy.note_report)
+        self._reports.on_silence(self._policy.note_silence)
         self._reports.start()
         self._budgets.start()
         self._review_loop.start(defaults.SHARD_REVIEW_S)
@@ -223,11 +223,18 @@
         self._reports.poll()
 
     def _agent_urls(self) -> dict[str, str]:
-        targets = self._targets.target_by_name.values()
-        return {target.name: target.url for target in targets}
+        """Returns the URLs of the agents that this router works with."""
+        site = self._store.config.site_by_name.get(self._settings.site)
+        services = site.service_by_name.values() if site else ()
+        return {
+            target.name: target.url
+            for service in services
+            for target in self._targets.of_interest(service)
+        }
 
     def _note_report(self, report: LoadReport) -> None:
         self._config.peers.note_version(report["config_version"])
+        self._policy.note_report(report)
 
 
 def run(settings: RouterSettings) -> None:
--- a/chicorystack/router/policies.py
+++ b/chicorystack/router/policies.py
@@ -24,12 +24,7 @@
 class Policy:
     """A router's way to choose targets."""
 
-    def __init__(
-        self,
-        clock,
-        settings: RouterSettings,
-        targets: TargetTable,
-    ):
+    def __init__(self, clock, settings: RouterSettings, targets: TargetTable):
         self._clock = clock
         self._settings = settings
         self._targets = targets
@@ -48,6 +43,21 @@
             self._clock, self._targets, attempt, self._queues, self._timings
         )
 
+    def note_report(self, report: LoadReport) -> None:
+        """Takes a target's load report."""
+        name = report["target"]
+        target = self._targets.target_by_name.get(name)
+        if target is None:
+            return
+        self._queues.health(target.service).note_report(name)
+        self._targets.note_report(report, self._clock.seconds())
+
+    def note_silence(self, name: str) -> None:
+        """Notes that a target's agent did not answer."""
+        target = self._targets.target_by_name.get(name)
+        if target is not None:
+            self._queues.health(target.service).note_failure(name)
+
     def note_answer(self, url: str, answer: AnswerHeader) -> None:
         """Takes the load that an agent's answer tells."""
         name = self._targets.name_of(url)
@@ -56,15 +66,6 @@
                 name, answer["in_flight"], self._clock.seconds()
             )
 
-    def note_report(self, report: LoadReport) -> None:
-        """Takes an agent's load report."""
-        name = report["target"]
-        if name not in self._targets.target_by_name:
-            return
-        service = self._targets.target_by_name[name].service
-        self._queues.health(service).note_report(name)
-        self._targets.note_report(report, self._clock.seconds())
-
 
 def picker_factory(settings: RouterSettings) -> Callable[[], Picker]:
     """Returns what makes the pickers that the settings name."""
--- a/chicorystack/routing/targets.py
+++ b/chicorystack/routing/targets.py
@@ -18,7 +18,6 @@
         name: Name of the target.
         url: Base URL of its agent.
         data_centre: Its data centre.
-        leaving: Whether it takes no new calls.
         sent: Calls that this router has in flight there.
         service: Service that it offers.
         limit: Most calls in flight there from all routers.
@@ -29,7 +28,6 @@
     name: str
     url: str
     data_centre: str
-    leaving: bool = False
     sent: int = 0
     service: str = ""
     limit: int = defaults.MAX_IN_FLIGHT_PER_TARGET
@@ -54,10 +52,10 @@
         target_by_name: Targets that are in both.
     """
 
-    def __init__(self, data_centre: str, presence: Presence, router: str = ""):
+    def __init__(self, data_centre: str, router: str, presence: Presence):
         self._data_centre = data_centre
-        self._presence = presence
         self._router = router
+        self._presence = presence
         self._room_listeners: list[Callable[[str], None]] = []
         self.target_by_name: dict[str, TargetState] = {}
         self._name_by_url: dict[str, str] = {}
@@ -84,7 +82,6 @@
                 self.target_by_name[name] = known._replace(
                     url=f"http://{vm['address']}:{vm['port']}",
                     data_centre=target.data_centre,
-                    leaving=vm["state"] == "leaving",
                     service=service.name,
                     limit=service.max_in_flight,
                 )
@@ -116,6 +113,18 @@
         far = [target for target in known if target not in near]
         return near + far[: defaults.TARGETS_PER_ROUTER - len(near)]
 
+    def of_interest(self, service: Service) -> list[TargetState]:
+        """Returns the targets of a service whose agents to ask for reports.
+
+        Any target may own the key of a call that may not be repeated.
+        """
+        operations = service.operation_by_name.values()
+        if all(operation.repeatable for operation in operations):
+            return self.subset(service)
+        names = service.target_by_name
+        table = self.target_by_name
+        return [table[name] for name in names if name in table]
+
     def usable(
         self, service: Service, tried: frozenset[str]
     ) -> list[TargetState]:
@@ -123,7 +132,8 @@
         return [
             target
             for target in self.subset(service)
-            if self.takes_work(target.name) and target.name not in tried
+            if target.name not in tried
+            and self._presence.takes_work(target.name)
         ]
 
     def has_target(self, service: Service) -> bool:
--- a/tests/routing/test_call_queue.py
+++ b/tests/routing/test_call_queue.py
@@ -44,13 +44,13 @@
 
 
 class AllPresent:
-    """Stands for a presence whose targets all take work."""
+    """Every agent says for ever that it takes work."""
 
     def take_vm_list(self, vm_by_name):
         pass
 
-    def takes_work(self, name):
-        return name in NAMES
+    def takes_work(self, _name):
+        return True
 
 
 class Bench:
@@ -58,7 +58,7 @@
 
     def __init__(self):
         self.clock = Clock()
-        self.targets = TargetTable("dc-0", AllPresent())
+        self.targets = TargetTable("dc-0", "router-1", AllPresent())
         vm_by_name = {
             name: Vm(
                 name=name, role="agent", site="here", address="127.0.0.1",
