--- a/chicorystack/router/repeatable_attempts.py
+++ b/chicorystack/router/repeatable_attempts.py
@@ -65,6 +65,8 @@
                     refused = True
                     continue
                 tried.append(target.name)
+                # A refusal can't follow events that the caller has.
+                error.started = progress.started
                 await self._prepare_retry(call, error, last)
 
     async def _take(
