--- a/chicorystack/agent/gate.py
+++ b/chicorystack/agent/gate.py
@@ -5,6 +5,7 @@
 import msgspec
 from twisted.web import resource, server
 
+from chicorystack.agent.closures import EpochGate
 from chicorystack.agent.generations import Generations
 from chicorystack.agent.leaving import LeavingState
 from chicorystack.agent.service_calls import ServiceCalls
@@ -47,6 +48,7 @@
         store: ConfigStore,
         generations: Generations,
         service_calls: ServiceCalls,
+        epochs: EpochGate,
         authorize: Authorizer,
         note_version: Callable[[int], None],
         leaving: LeavingState,
@@ -56,6 +58,7 @@
         self._store = store
         self._generations = generations
         self._service_calls = service_calls
+        self._epochs = epochs
         self._authorize = authorize
         self._note_version = note_version
         self.leaving = leaving
@@ -81,7 +84,11 @@
         """Returns how busy the target is."""
         return LoadReport(
             target=self._settings.name,
-            ready=not self.draining and self._service() is not None,
+            ready=(
+                not self.draining
+                and self._epochs.ready
+                and self._service() is not None
+            ),
             in_flight=self.in_flight,
             running=self._reported["running"],
             queued=self._reported["queued"],
@@ -120,6 +127,7 @@
             raise self.leaving.refusal()
         if call["repeatable"] and self.in_flight >= service.max_in_flight:
             raise ApiError("overloaded", "the target has no room")
+        self._epochs.check(call)
         decisions.record(call["key"], "gate", "let through", call["use"])
         if service.kind == "engine":
             await self._generations.serve(request, call)
--- a/chicorystack/router/dispatcher.py
+++ b/chicorystack/router/dispatcher.py
@@ -109,7 +109,7 @@
     ) -> Delivered | None:
         """Returns what was delivered; None where the answer was cut."""
         try:
-            return await self._attempts(call).run(request, call, reservation)
+            return await self._run(request, call, reservation)
         except (NotDeliveredError, defer.CancelledError) as cut:
             _note_cut(call, cut)
             break_off_answer(request)
@@ -117,6 +117,19 @@
             return await self._refuse(request, call, error)
         return None
 
+    async def _run(
+        self, request: server.Request, call: Call, reservation: Reservation
+    ) -> Delivered:
+        """Delivers the answer, once more where the epoch was closed."""
+        attempts = self._attempts(call)
+        try:
+            return await attempts.run(request, call, reservation)
+        except ApiError as error:
+            if error.code != "epoch_closed":
+                raise
+        restated = await self._admission.restate(call, reservation)
+        return await attempts.run(request, call, restated)
+
     async def _refuse(
         self, request: server.Request, call: Call, error: ApiError
     ) -> Delivered | None:
--- a/chicorystack/router/main.py
+++ b/chicorystack/router/main.py
@@ -5,7 +5,11 @@
 from chicorystack import defaults
 from chicorystack.budget.client import BudgetClient, KeeperLocator
 from chicorystack.budget.keeper_service import KeeperService
-from chicorystack.budget.messages import CustomerQuery, Exchange
+from chicorystack.budget.messages import (
+    CustomerQuery,
+    Exchange,
+    HolderQuery,
+)
 from chicorystack.calls.messages import Empty, LoadReport
 from chicorystack.config.messages import ConfigInForce, ConfigQuery
 from chicorystack.config.source import RouterConfigSource
@@ -82,15 +86,18 @@
         self._keeper = KeeperService(
             reactor,
             log_client,
+            self._client,
             settings.name,
             own_url,
             self._routers.url_by_name,
+            lambda: self._vm_list.vm_by_name,
+            log_retention_s=settings.log_retention_s,
         )
         self._review_loop = task.LoopingCall(self._review_shards)
         locator = KeeperLocator(
             reactor, self._client, self._routers.url_by_name
         )
-        self._budgets = BudgetClient(reactor, locator)
+        self._budgets = BudgetClient(reactor, locator, settings.name)
         customers = CustomerDirectory(reactor, self._budgets)
         admission = Admission(
             reactor,
@@ -148,6 +155,7 @@
         self._reports.on_silence(self._policy.note_silence)
         self._reports.start()
         self._budgets.start()
+        self._keeper.start()
         self._review_loop.start(defaults.SHARD_REVIEW_S)
         log.info("serves site {}", self._settings.site)
 
@@ -165,6 +173,7 @@
             ("leaving", RouterLeaving, self._note_leaving),
             ("keeper/exchange", Exchange, keeper.handle_exchange),
             ("keeper/customer", CustomerQuery, keeper.handle_customer),
+            ("holder", HolderQuery, self._budgets.handle_holder),
             ("keeper/budgets", CustomerQuery, keeper.handle_budgets),
         ]
         for path, message_type, handler in endpoints:
