--- a/chicorystack/router/repeatable_attempts.py
+++ b/chicorystack/router/repeatable_attempts.py
@@ -57,14 +57,17 @@
                     request, call, reservation, target, progress, tried, last
                 )
             except NotDeliveredError as error:
-                if _is_full(error):
+                if _is_refused(error, "overloaded"):
                     self._targets.note_full(target.name, self._clock.seconds())
                     refused = True
                     continue
                 if error.target_leaves and not error.started:
                     # It said so at once, and is not picked again.
+                    refused = True
                     continue
                 tried.append(target.name)
+                # A refusal can't follow events that the caller has.
+                error.started = progress.started
                 await self._prepare_retry(call, error, last)
 
     async def _take(
@@ -171,8 +174,8 @@
         await task.deferLater(self._clock, delay_s)
 
 
-def _is_full(error: NotDeliveredError) -> bool:
-    return error.refusal is not None and error.refusal.code == "overloaded"
+def _is_refused(error: NotDeliveredError, code: str) -> bool:
+    return error.refusal is not None and error.refusal.code == code
 
 
 def _failed(call: Call) -> ApiError:
