Give runs of different shards different ids; stop asking full targets again

Cause: a wallet numbers its runs by holder, and all shards of a router shared one holder, so two calls of different shards had the same use. Settling one cancelled the other at its agent (streams broke off under load with no fault ordered) and closed it there (refused_for_good). A second fault beside it: the end of a refused attempt told the queue of room before the refusal had marked the target as full, so that the queue sent it another call every 3 ms. Ruled out: bounds on a pause between events (the broken streams' pauses were far below them), the poll of load reports (0.5 s instead of 1 s: 14 cut). Change: a shard's wallet has a holder of its own; a refusal for want of room counts before the attempt ends; a call waits for room no longer than the bound that it was let in with, instead of until near its deadline.

--- a/chicorystack/budget/client.py
+++ b/chicorystack/budget/client.py
@@ -126,8 +126,10 @@
     def wallet(self, shard: int) -> ShardWallet:
         """Returns the wallet of a shard, made on first use."""
         if shard not in self.wallet_by_shard:
+            # Agents know runs by their use alone, whatever the shard.
+            holder = f"{self.holder}.{shard}"
             self.wallet_by_shard[shard] = ShardWallet(
-                shard, self.holder, self._router
+                shard, holder, self._router
             )
         return self.wallet_by_shard[shard]
 
--- a/chicorystack/router/attempts.py
+++ b/chicorystack/router/attempts.py
@@ -95,6 +95,9 @@
             )
             if error.target_leaves:
                 self._targets.note_refused(target.name, asked_at)
+            if error.target_full:
+                # Before the call's end frees its place here for another.
+                self._targets.note_full(target.name, self._clock.seconds())
             if error.may_be_death:
                 await self._sentry.note_failure(target.name)
                 if not error.started:
--- a/chicorystack/router/forwarder.py
+++ b/chicorystack/router/forwarder.py
@@ -51,6 +51,11 @@
         """Whether the agent refused because its target is leaving."""
         return self.refusal is not None and self.refusal.code == "draining"
 
+    @property
+    def target_full(self) -> bool:
+        """Whether the agent refused because its target has no room."""
+        return self.refusal is not None and self.refusal.code == "overloaded"
+
     @property
     def may_be_death(self) -> bool:
         """Whether the target may have died over the call.
--- a/chicorystack/router/repeatable_attempts.py
+++ b/chicorystack/router/repeatable_attempts.py
@@ -57,8 +57,7 @@
                     request, call, reservation, target, progress, tried, last
                 )
             except NotDeliveredError as error:
-                if _is_refused(error, "overloaded"):
-                    self._targets.note_full(target.name, self._clock.seconds())
+                if error.target_full:
                     refused = True
                     continue
                 if error.target_leaves and not error.started:
@@ -174,10 +173,6 @@
         await task.deferLater(self._clock, delay_s)
 
 
-def _is_refused(error: NotDeliveredError, code: str) -> bool:
-    return error.refusal is not None and error.refusal.code == code
-
-
 def _failed(call: Call) -> ApiError:
     return ApiError(
         "target_failed",
--- a/chicorystack/routing/call_queue.py
+++ b/chicorystack/routing/call_queue.py
@@ -135,8 +135,7 @@
         wait_s = 0.0 if ticket.is_retry else self._expected_wait_s(ticket)
         if now + wait_s > latest:
             raise overloaded(ticket.service, wait_s)
-        give_up_at = ticket.deadline - self._duration_s(ticket)
-        return await self._wait(ticket, max(now, give_up_at))
+        return await self._wait(ticket, max(now, latest))
 
     def pump(self) -> None:
         """Gives waiting calls their targets while there is room."""
--- a/chicorystack/routing/targets.py
+++ b/chicorystack/routing/targets.py
@@ -181,11 +181,11 @@
         self._tell_room(self.target_by_name[name].service)
 
     def note_full(self, name: str, now: float) -> None:
-        """Takes an agent's refusal for want of room."""
+        """Takes an agent's refusal of a call that still counts as sent."""
         target = self.target_by_name.get(name)
         if target is None:
             return
-        others = max(target.others, target.limit - target.sent)
+        others = max(target.others, target.limit - target.sent + 1)
         self.target_by_name[name] = target._replace(
             others=others, reported_at=now
         )
