--- a/chicorystack/router/main.py
+++ b/chicorystack/router/main.py
@@ -64,34 +64,61 @@
     def __init__(self, settings: RouterSettings):
         self._settings = settings
         self._client = JsonClient(reactor, settings.fleet_token)
+        self._log_client = LogClient(reactor, self._client, settings.log_url)
         self._store = ConfigStore()
         self._vm_list = VmListPoller(
             reactor, self._client, settings.vm_list_url
         )
-        presence = Presence(reactor)
-        self._targets = TargetTable(
-            settings.data_centre, settings.name, presence
-        )
-        self._reports = ReportPoller(
-            reactor, self._client, presence, self._agent_urls
-        )
-        log_client = LogClient(reactor, self._client, settings.log_url)
+        self._routers = LiveRouters(reactor, self._vms)
         self._config = RouterConfigSource(
             reactor,
             settings,
             self._client,
-            log_client,
+            self._log_client,
             self._store,
             self._vms,
         )
-        self._routers = LiveRouters(reactor, self._vms)
-        own_url = f"http://{settings.address}:{settings.control_port}"
+        self._make_targets()
+        self._make_budgets()
+        self._make_dispatcher()
+        self._drain = Drain(
+            reactor,
+            settings.name,
+            self._client,
+            self._routers,
+            self._dispatcher,
+            self._keeper,
+            self._budgets,
+        )
+        self._store.on_change(lambda _: self._update_targets())
+        self._vm_list.on_change(self._update_targets)
+        self._vm_list.on_change(self._config.review_vms)
+        self._listen()
+
+    def _make_targets(self) -> None:
+        """Makes what knows the targets and chooses among them."""
+        presence = Presence(reactor)
+        self._targets = TargetTable(
+            self._settings.data_centre, self._settings.name, presence
+        )
+        self._reports = ReportPoller(
+            reactor, self._client, presence, self._agent_urls
+        )
+        self._policy = Policy(reactor, self._settings, self._targets)
+        self._strikes = StrikeTable(reactor)
+        self._sentry = Sentry(
+            self._client, self._strikes, self._reports, self._peer_urls
+        )
+
+    def _make_budgets(self) -> None:
+        """Makes the keeper duty and the router's own side of budgets."""
+        settings = self._settings
         self._keeper = KeeperService(
             reactor,
-            log_client,
+            self._log_client,
             self._client,
             settings.name,
-            own_url,
+            f"http://{settings.address}:{settings.control_port}",
             self._routers.url_by_name,
             lambda: self._vm_list.vm_by_name,
             log_retention_s=settings.log_retention_s,
@@ -101,23 +128,21 @@
             reactor, self._client, self._routers.url_by_name
         )
         self._budgets = BudgetClient(reactor, locator, settings.name)
-        customers = CustomerDirectory(reactor, self._budgets)
-        strikes = StrikeTable(reactor)
-        self._sentry = Sentry(
-            self._client, strikes, self._reports, self._peer_urls
-        )
+        self._customers = CustomerDirectory(reactor, self._budgets)
+
+    def _make_dispatcher(self) -> None:
+        """Makes what carries calls from callers to targets and back."""
         admission = Admission(
             reactor,
-            settings.site,
-            customers,
+            self._settings.site,
+            self._customers,
             self._budgets,
             self._targets.has_target,
-            strikes,
+            self._strikes,
         )
         settler = Settler(reactor, self._client, self._targets, self._budgets)
-        self._policy = Policy(reactor, settings, self._targets)
         forwarder = Forwarder(
-            reactor, settings.fleet_token, self._policy.note_answer
+            reactor, self._settings.fleet_token, self._policy.note_answer
         )
         attempt = Attempt(
             reactor, self._targets, forwarder, self._sentry, settler
@@ -130,32 +155,18 @@
             self._policy.attempts(attempt),
             OwnerAttempts(reactor, self._targets, attempt),
         )
-        self._drain = Drain(
-            reactor,
-            settings.name,
-            self._client,
-            self._routers,
-            self._dispatcher,
-            self._keeper,
-            self._budgets,
+
+    def _listen(self) -> None:
+        """Opens the ports for callers and for the fleet."""
+        settings = self._settings
+        callers = caller_tree(
+            self._dispatcher, self._store, self._customers, self._budgets
         )
-        self._store.on_change(lambda _: self._update_targets())
-        self._vm_list.on_change(self._update_targets)
-        self._vm_list.on_change(self._config.review_vms)
         self._caller_port = listen(
-            reactor,
-            caller_tree(
-                self._dispatcher, self._store, customers, self._budgets
-            ),
-            settings.address,
-            settings.port,
-        )
-        listen(
-            reactor,
-            self._control_tree(),
-            settings.address,
-            settings.control_port,
+            reactor, callers, settings.address, settings.port
         )
+        control = self._control_tree()
+        listen(reactor, control, settings.address, settings.control_port)
 
     def start(self) -> None:
         """Begins to follow the platform and to serve."""
