End a call whose caller left before its answer began

Cause: the connection to the agent is closed when the caller goes, which looked like a failed attempt, so the call was tried again at other targets. Change: an attempt that fails after the caller has gone is cancelled. Test: tests/routing/test_attempt.py; 1 of 2 failed without the change (the call was taken for a failed attempt), 2 pass with it.

--- a/chicorystack/router/attempts.py
+++ b/chicorystack/router/attempts.py
@@ -2,6 +2,7 @@
 
 from typing import Protocol
 
+from twisted.internet import defer
 from twisted.web import server
 
 from chicorystack import defaults
@@ -93,6 +94,9 @@
             decisions.record_notable(
                 call.key, "attempts", f"failed at {target.name}", str(error)
             )
+            if request._disconnected:
+                # The caller has gone, which closed the agent's connection.
+                raise defer.CancelledError from error
             if error.target_leaves:
                 self._targets.note_refused(target.name, asked_at)
             if error.target_full:
