--- a/chicorystack/budget/keeper_service.py
+++ b/chicorystack/budget/keeper_service.py
@@ -15,7 +15,8 @@
     HolderQuery,
     HolderReply,
 )
-from chicorystack.budget.shard_duty import ClosureFollower, ShardDuty
+from chicorystack.budget.shard_duty import ShardDuty
+from chicorystack.budget.shard_journal import ClosureFollower
 from chicorystack.budget.sharing import MixedSharing, SharingPolicy
 from chicorystack.errors import ApiError
 from chicorystack.observe.logs import part_logger
