Say that a router is ready once each service has a target, or had the time

Cause: the poller counted a target as asked when it had failed to answer or answered 'not ready' once, and asked again only a second later. A router that started beside its agents called itself ready and refused calls that the fleet could serve. Ruled out: order of start and the VM list's lag only make the window longer; with both right, one early answer of an agent that has not read the closed epochs is enough (tests/membership/test_service_readiness.py, which the old rule fails). Change: a router is ready once each service of its site has a target that takes work, or SERVICE_SETTLE_S has passed since it learned of the service. An agent that turns ready tells the routers, which ask it at once.

--- a/chicorystack/agent/gate.py
+++ b/chicorystack/agent/gate.py
@@ -72,6 +72,16 @@
         """Whether new calls are refused."""
         return bool(self.leaving)
 
+    @property
+    def ready(self) -> bool:
+        """Whether new calls are taken."""
+        return (
+            not self.draining
+            and not self._watch.target_down
+            and self._epochs.ready
+            and self._service() is not None
+        )
+
     @property
     def in_flight(self) -> int:
         """Calls given to the target and not finished."""
@@ -87,12 +97,7 @@
         """Returns how busy the target is."""
         return LoadReport(
             target=self._settings.name,
-            ready=(
-                not self.draining
-                and not self._watch.target_down
-                and self._epochs.ready
-                and self._service() is not None
-            ),
+            ready=self.ready,
             in_flight=self.in_flight,
             running=self._reported["running"],
             queued=self._reported["queued"],
--- a/chicorystack/agent/main.py
+++ b/chicorystack/agent/main.py
@@ -17,10 +17,15 @@
 from chicorystack.calls.run_table import RunTable
 from chicorystack.calls.usage_table import SettleRequest
 from chicorystack.config.model import FleetConfig
-from chicorystack.config.peers import PeerPoller, config_peers
+from chicorystack.config.peers import (
+    PeerPoller,
+    config_peers,
+    live_routers,
+)
 from chicorystack.config.store import ConfigStore
 from chicorystack.errors import ApiError
 from chicorystack.lifecycle import run_until_stopped
+from chicorystack.membership.announcer import ReadyAnnouncer
 from chicorystack.observe.endpoints import (
     ProcessStatus,
     Readiness,
@@ -100,6 +105,13 @@
             LeavingState(reactor),
             self._watch,
         )
+        self._announcer = ReadyAnnouncer(
+            reactor,
+            self._client,
+            settings.name,
+            lambda: self._gate.ready,
+            self._router_urls,
+        )
         self._vm_list.on_change(self._review_vm_list)
         self._load_loop = task.LoopingCall(self._poll_target_load)
         root = Tree()
@@ -121,6 +133,7 @@
         self._vm_list.start()
         self._config_peers.start()
         self._registration.start()
+        self._announcer.start()
         self._load_loop.start(defaults.LOAD_REPORT_INTERVAL_S)
         log.info("guards target {}", self._settings.name)
 
@@ -184,6 +197,14 @@
             vms, self._settings.name, self._settings.data_centre
         )
 
+    def _router_urls(self) -> list[str]:
+        """Returns control URLs of all live routers of this agent's site."""
+        return [
+            f"http://{vm['address']}:{vm['port']}"
+            for vm in live_routers(self._vm_list.vm_by_name.values())
+            if vm["site"] == self._settings.site
+        ]
+
     def _poll_target_load(self):
         return defer.ensureDeferred(self._fetch_target_load())
 
--- a/chicorystack/defaults.py
+++ b/chicorystack/defaults.py
@@ -66,8 +66,13 @@
 # Membership.
 AGENT_POLL_S = 1.0
 AGENT_POLL_TIMEOUT_S = 1.0
+# How often an agent looks whether it has turned ready.
+READY_REVIEW_S = 0.1
 # How long a router goes by an agent's word, from the question on.
 AGENT_WORD_VALID_S = 2.5
+# How long a starting router looks for a target of each service before it
+# says that it is ready without one.
+SERVICE_SETTLE_S = 5.0
 # Time after which every router knows that an agent is leaving.
 LEAVE_KNOWN_S = 3.0
 # Time for the platform's balancer to see that a router is not ready.
--- a/chicorystack/membership/reports.py
+++ b/chicorystack/membership/reports.py
@@ -15,11 +15,7 @@
 
 
 class ReportPoller:
-    """Keeps the words of all agents fresh, one question to each at a time.
-
-    Attributes:
-        settled: Whether each target has been asked once.
-    """
+    """Keeps the words of all agents fresh, one question to each at a time."""
 
     def __init__(
         self,
@@ -33,17 +29,11 @@
         self._presence = presence
         self._url_by_name = url_by_name
         self._asking: set[str] = set()
-        self._asked: set[str] = set()
         self._report_listeners: list[Callable[[LoadReport], None]] = []
         self._silence_listeners: list[Callable[[str], None]] = []
         self._loop = task.LoopingCall(self.poll)
         self._loop.clock = reactor
 
-    @property
-    def settled(self) -> bool:
-        """Whether each target has answered or failed to answer once."""
-        return self._asked >= set(self._url_by_name())
-
     def on_report(self, listener: Callable[[LoadReport], None]) -> None:
         """Calls listener with each report."""
         self._report_listeners.append(listener)
@@ -64,7 +54,6 @@
     def poll(self) -> None:
         """Asks every agent that owes no answer."""
         url_by_name = self._url_by_name()
-        self._asked &= set(url_by_name)
         for name, url in url_by_name.items():
             if name in self._asking:
                 continue
@@ -91,7 +80,6 @@
             return
         finally:
             self._asking.discard(name)
-            self._asked.add(name)
         if report["target"] != name:
             # The address has passed to another VM.
             return
--- a/chicorystack/router/main.py
+++ b/chicorystack/router/main.py
@@ -12,13 +12,16 @@
 )
 from chicorystack.calls.messages import Empty, LoadReport
 from chicorystack.config.messages import ConfigInForce, ConfigQuery
+from chicorystack.config.model import Service
 from chicorystack.config.peers import live_routers
 from chicorystack.config.source import RouterConfigSource
 from chicorystack.config.store import ConfigStore
 from chicorystack.lifecycle import run_until_stopped
+from chicorystack.membership.announcer import AgentReady
 from chicorystack.membership.presence import Presence
 from chicorystack.membership.reports import ReportPoller
 from chicorystack.membership.routers import LiveRouters, RouterLeaving
+from chicorystack.membership.service_readiness import ServiceReadiness
 from chicorystack.observe.endpoints import (
     ProcessStatus,
     Readiness,
@@ -104,6 +107,7 @@
         self._reports = ReportPoller(
             reactor, self._client, presence, self._agent_urls
         )
+        self._services = ServiceReadiness(reactor, self._has_target)
         self._policy = Policy(reactor, self._settings, self._targets)
         self._strikes = StrikeTable(reactor)
         self._sentry = Sentry(
@@ -193,6 +197,7 @@
             ("config", ConfigQuery, self._answer_config),
             ("strikes", StrikesMessage, self._sentry.handle_strikes),
             ("leaving", RouterLeaving, self._note_leaving),
+            ("agent-ready", AgentReady, self._note_agent_ready),
             ("keeper/exchange", Exchange, keeper.handle_exchange),
             ("keeper/customer", CustomerQuery, keeper.handle_customer),
             ("holder", HolderQuery, self._budgets.handle_holder),
@@ -211,8 +216,9 @@
             readiness |= {"ready": False, "reason": "no configuration yet"}
         elif not self._vm_list.loaded:
             readiness |= {"ready": False, "reason": "no VM list yet"}
-        elif not self._reports.settled:
-            readiness |= {"ready": False, "reason": "agents not asked yet"}
+        elif unsettled := self._services.unsettled():
+            reason = f"looks for targets of {', '.join(unsettled)}"
+            readiness |= {"ready": False, "reason": reason}
         return readiness
 
     def _status(self) -> ProcessStatus:
@@ -252,6 +258,11 @@
         self._routers.note_leaving(notice["name"])
         return Empty()
 
+    async def _note_agent_ready(self, notice: AgentReady) -> Empty:
+        """Asks an agent that has turned ready, which says the rest itself."""
+        await self._reports.ask(notice["target"])
+        return Empty()
+
     def _review_shards(self) -> None:
         if self._store.config.version and not self._drain.begun:
             self._keeper.review(self._store.config.shard_count)
@@ -260,15 +271,23 @@
         self._targets.update(
             self._store.config, self._settings.site, self._vm_list.vm_by_name
         )
+        self._services.update(service.name for service in self._own_services())
         self._reports.poll()
 
+    def _own_services(self) -> list[Service]:
+        """Returns the services of this router's site."""
+        site = self._store.config.site_by_name.get(self._settings.site)
+        return list(site.service_by_name.values()) if site else []
+
+    def _has_target(self, name: str) -> bool:
+        service = self._store.config.service(self._settings.site, name)
+        return service is not None and self._targets.has_target(service)
+
     def _agent_urls(self) -> dict[str, str]:
         """Returns the URLs of the agents that this router works with."""
-        site = self._store.config.site_by_name.get(self._settings.site)
-        services = site.service_by_name.values() if site else ()
         return {
             target.name: target.url
-            for service in services
+            for service in self._own_services()
             for target in self._targets.of_interest(service)
         }
 
