--- a/bench/budget_sim.py
+++ b/bench/budget_sim.py
@@ -31,8 +31,8 @@
 from chicorystack.budget.wallet import Reservation
 from chicorystack.calls.messages import CallHeader
 from chicorystack.errors import ApiError
-from chicorystack.platform.log_client import LogClient
-from chicorystack.platform.messages import AppendRequest, Vm
+from chicorystack.infrastructure.log_client import LogClient
+from chicorystack.infrastructure.messages import AppendRequest, Vm
 from chicorystack.standin.log_service import LogFaults, LogService, ReadQuery
 from chicorystack.util import new_id
 from chicorystack.web.client import UnreachableError, decode_reply
--- a/bench/chaos.py
+++ b/bench/chaos.py
@@ -35,7 +35,7 @@
 from chicorystack.budget.ledger import ShardLedger
 from chicorystack.budget.messages import Usage, shard_stream
 from chicorystack.calls.messages import EngineRequest
-from chicorystack.platform.messages import LogEntry, ReadPage
+from chicorystack.infrastructure.messages import LogEntry, ReadPage
 from chicorystack.standin.engine import generate_words
 from chicorystack.util import key_hash
 
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -21,9 +21,9 @@
 from chicorystack.calls.messages import LoadReport
 from chicorystack.config.check import check_text
 from chicorystack.config.model import build_config
+from chicorystack.infrastructure.messages import LogEntry, Vm, VmList
 from chicorystack.observe.decisions import DecisionLog
 from chicorystack.observe.metrics import Metrics
-from chicorystack.platform.messages import LogEntry, Vm, VmList
 
 RUNS = 3
 PAGE_BYTES = 4096
--- a/chicorystack/agent/closures.py
+++ b/chicorystack/agent/closures.py
@@ -13,9 +13,9 @@
 )
 from chicorystack.calls.messages import CallHeader
 from chicorystack.errors import ApiError
+from chicorystack.infrastructure.log_client import LogClient, LogFollower
+from chicorystack.infrastructure.messages import LogEntry
 from chicorystack.observe.logs import part_logger
-from chicorystack.platform.log_client import LogClient, LogFollower
-from chicorystack.platform.messages import LogEntry
 from chicorystack.util import new_id
 
 log = part_logger("closures")
--- a/chicorystack/agent/main.py
+++ b/chicorystack/agent/main.py
@@ -24,6 +24,8 @@
 )
 from chicorystack.config.store import ConfigStore
 from chicorystack.errors import ApiError
+from chicorystack.infrastructure.log_client import LogClient
+from chicorystack.infrastructure.vm_list import VmListPoller
 from chicorystack.lifecycle import run_until_stopped
 from chicorystack.membership.announcer import ReadyAnnouncer
 from chicorystack.observe.endpoints import (
@@ -34,8 +36,6 @@
 )
 from chicorystack.observe.logs import part_logger, setup_logs
 from chicorystack.observe.metrics import start_metrics
-from chicorystack.platform.log_client import LogClient
-from chicorystack.platform.vm_list import VmListPoller
 from chicorystack.quarantine.probe import TargetProbe
 from chicorystack.quarantine.strikes import StrikeTable
 from chicorystack.quarantine.watch import DeathWatch, WatchedTarget
--- a/chicorystack/budget/closures.py
+++ b/chicorystack/budget/closures.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from chicorystack.budget.messages import RecordHead, Usage
-from chicorystack.platform.messages import LogEntry
+from chicorystack.infrastructure.messages import LogEntry
 from chicorystack.util import new_id
 
 CLOSURES_STREAM = "closures"
--- /dev/null
+++ b/chicorystack/budget/grants.py
@@ -0,0 +1,417 @@
+"""Grants of a customer's tokens to routers, by conditional appends alone.
+
+Each router has one record a customer. It states how many tokens its process
+may use (`Terms`) and what earlier processes on the same VM may have used
+(`lost`). The sum over all routers never exceeds what the customer has prepaid:
+a record is appended only if the partition ends where its writer had read to,
+so each writer has seen all other records. A process uses nothing beyond terms
+that it has seen in the log.
+
+Terms grow with the time since they were written, up to the whole grant: a
+process that reaches the store renews them each second, and one that does not
+may use its grant bit by bit. A process that follows another one on the same VM
+can so tell how much its predecessor may have used at most, and takes back the
+rest. It compares the clock that counts sleep, and only within one boot of the
+VM; otherwise the whole grant counts as used.
+"""
+
+import math
+from collections.abc import Iterator
+from typing import NamedTuple, NotRequired, Protocol, TypedDict
+
+import msgspec
+
+from chicorystack import defaults
+from chicorystack.observe.invariants import require
+from chicorystack.store.keyed_log import KeyedRecord
+
+KEY_SEPARATOR = "/"
+
+
+class Instant(NamedTuple):
+    """A time on the clock of one boot of a VM.
+
+    Attributes:
+        boot: Tells boots apart: the Unix time at which the clock began.
+        seconds: Time since then, sleep included.
+    """
+
+    boot: float
+    seconds: float
+
+    def since(self, earlier: "Instant") -> float | None:
+        """Returns seconds since an earlier time; None if of another boot."""
+        same_boot = abs(self.boot - earlier.boot) < defaults.SAME_BOOT_S
+        elapsed_s = self.seconds - earlier.seconds
+        return elapsed_s if same_boot and elapsed_s >= 0 else None
+
+
+class LeaseClock(Protocol):
+    """A clock that counts sleep and tells boots apart."""
+
+    def instant(self) -> Instant:
+        """Returns the time now."""
+
+
+class Terms(NamedTuple):
+    """How many tokens a process may use, and how soon.
+
+    Attributes:
+        granted: Tokens that it may use in all.
+        in_use: Tokens that it had used or set aside when it wrote this.
+        burst: Tokens beyond that which it may use at once.
+        pace: Tokens a second that it may use besides.
+        at: When it wrote this.
+    """
+
+    granted: int
+    in_use: int
+    burst: int
+    pace: float
+    at: Instant
+
+    def limit(self, now: Instant) -> int:
+        """Returns the tokens that may have been used by now."""
+        elapsed_s = now.since(self.at)
+        if elapsed_s is None:
+            return self.granted
+        grown = self.in_use + self.burst + math.floor(self.pace * elapsed_s)
+        return min(self.granted, grown)
+
+
+class GrantRecord(TypedDict):
+    """One router's record of one customer.
+
+    Attributes:
+        process: Id of the router process that wrote it.
+        terms: What that process may use.
+        spent: Tokens that calls of that process have used so far.
+        lost: Tokens that earlier processes of the router may have used.
+        lost_spent: The part of `lost` that was reported as used.
+    """
+
+    process: str
+    terms: Terms
+    spent: int
+    lost: NotRequired[int]
+    lost_spent: NotRequired[int]
+
+
+_decoder = msgspec.json.Decoder(GrantRecord)
+_encoder = msgspec.json.Encoder()
+
+
+class Holder(NamedTuple):
+    """Who writes records.
+
+    Attributes:
+        router: Name of the router's VM.
+        process: Id of this process; another one for each start.
+    """
+
+    router: str
+    process: str
+
+
+def record_key(customer: str, router: str) -> str:
+    """Returns the key of a router's record of a customer."""
+    return f"{customer}{KEY_SEPARATOR}{router}"
+
+
+class GrantLedger:
+    """All grants of one partition, as far as it has been read.
+
+    Attributes:
+        end: Offset after the last record that has been read; None before.
+    """
+
+    def __init__(self):
+        self._by_customer: dict[str, dict[str, GrantRecord]] = {}
+        self.end: int | None = None
+
+    def load(self, records: list[KeyedRecord], end: int) -> None:
+        """Starts anew from the newest record of each key."""
+        self._by_customer = {}
+        self.apply(records, end)
+
+    def apply(self, records: list[KeyedRecord], end: int) -> None:
+        """Takes over records in the order of the log."""
+        for record in records:
+            customer, _, router = record.key.rpartition(KEY_SEPARATOR)
+            holders = self._by_customer.setdefault(customer, {})
+            if record.value:
+                holders[router] = _decoder.decode(record.value)
+            else:
+                holders.pop(router, None)
+        self.end = end
+
+    def record(self, customer: str, router: str) -> GrantRecord | None:
+        """Returns a router's record."""
+        return self._by_customer.get(customer, {}).get(router)
+
+    def committed(self, customer: str, except_router: str = "") -> int:
+        """Returns tokens that routers may use or have lost."""
+        return sum(
+            record["terms"].granted + record.get("lost", 0)
+            for router, record in self._by_customer.get(customer, {}).items()
+            if router != except_router
+        )
+
+    def spent(self, customer: str) -> int:
+        """Returns tokens that have certainly been used."""
+        records = self._by_customer.get(customer, {}).values()
+        return sum(
+            record["spent"] + record.get("lost_spent", 0) for record in records
+        )
+
+
+class GrantReservation(NamedTuple):
+    """Tokens set aside for one call.
+
+    Attributes:
+        customer: Who pays.
+        tokens: Tokens that the call may use.
+    """
+
+    customer: str
+    tokens: int
+
+
+class Account:
+    """What this process does with one customer's tokens.
+
+    Attributes:
+        prepaid: Tokens that the customer may use in all.
+        terms: What this process may use, as seen in the log; None for
+            nothing.
+        reserved: Tokens set aside for calls under way.
+        spent: Tokens used by calls that have ended.
+        wanted: Tokens that waiting calls need.
+        rate: Tokens a second, a moving mean.
+    """
+
+    def __init__(self, prepaid: int, clock: LeaseClock):
+        self.prepaid = prepaid
+        self.terms: Terms | None = None
+        self.reserved = 0
+        self.spent = 0
+        self.wanted = 0
+        self.rate = 0.0
+        self._clock = clock
+        # Terms that may stand in the log before this process knows.
+        self._pending: Terms | None = None
+        self._suspended = False
+        self._taken = 0
+        self._usual_call = 0.0
+
+    @property
+    def in_use(self) -> int:
+        """Tokens that are used or set aside."""
+        return self.spent + self.reserved
+
+    @property
+    def granted(self) -> int:
+        """Tokens that this process may use in the end."""
+        return 0 if self.terms is None else self.terms.granted
+
+    @property
+    def free(self) -> int:
+        """Tokens that a new call may use now."""
+        if self.terms is None or self._suspended:
+            return 0
+        now = self._clock.instant()
+        limit = self.terms.limit(now)
+        if self._pending is not None:
+            limit = min(limit, self._pending.limit(now))
+        return limit - self.in_use
+
+    @property
+    def ahead(self) -> int:
+        """Tokens to hold beyond those in use, to outlast an outage."""
+        expected = self.rate * defaults.GRANT_HORIZON_S
+        spread = math.sqrt(expected * self._usual_call)
+        return int(expected + spread * defaults.GRANT_SPREADS)
+
+    def reserve(self, tokens: int) -> bool:
+        """Sets tokens aside, where they are free."""
+        if tokens > self.free:
+            return False
+        self.reserved += tokens
+        return True
+
+    def settle(self, reserved: int, spent: int) -> None:
+        """Ends a call that has used no more than was set aside."""
+        require(
+            "call_keeps_its_reservation",
+            0 <= spent <= reserved,
+            f"{spent} of {reserved} tokens",
+        )
+        self.reserved -= reserved
+        self.spent += spent
+        self._taken += spent
+        gain = defaults.GRANT_USUAL_CALL_GAIN
+        self._usual_call += gain * (reserved - self._usual_call)
+
+    def note_interval(self, seconds: float) -> None:
+        """Follows the rate of use over an interval that has ended."""
+        now_rate = self._taken / seconds
+        gain = min(1.0, seconds / defaults.GRANT_RATE_WINDOW_S)
+        self.rate += gain * (now_rate - self.rate)
+        self._taken = 0
+
+    def new_terms(self, granted: int) -> Terms:
+        """Returns terms that start now."""
+        ahead = max(0, granted - self.in_use)
+        burst = int(ahead * defaults.GRANT_BURST_PART) + self.wanted
+        pace = (ahead - burst) / defaults.GRANT_HORIZON_S
+        return Terms(
+            granted, self.in_use, burst, max(0.0, pace), self._clock.instant()
+        )
+
+    def suspend(self) -> None:
+        """Lets no new call use tokens until the log has been read again."""
+        self._suspended = True
+
+    def note_pending(self, terms: Terms) -> None:
+        """Keeps to terms that are being appended, beside the present ones."""
+        self._pending = terms
+
+    def note_terms(self, terms: Terms) -> None:
+        """Takes over the terms that stand in the log."""
+        require(
+            "grant_covers_use",
+            self.in_use <= terms.granted,
+            f"{self.in_use} of {terms.granted} tokens",
+        )
+        self.terms = terms
+        self._pending = None
+
+    def resume(self) -> None:
+        """Uses the terms again, as the log has been read since."""
+        self._suspended = False
+
+
+class GrantBook:
+    """Decides which terms this process writes, and keeps to them.
+
+    Attributes:
+        account_by_customer: This process's own accounts.
+        superseded: Whether a later process of the same VM has written.
+    """
+
+    def __init__(self, holder: Holder, clock: LeaseClock):
+        self._holder = holder
+        self._clock = clock
+        self.account_by_customer: dict[str, Account] = {}
+        self.superseded = False
+
+    def set_prepaid(self, prepaid_by_customer: dict[str, int]) -> None:
+        """Takes over what customers have prepaid."""
+        for customer, prepaid in prepaid_by_customer.items():
+            account = self.account_by_customer.get(customer)
+            if account is None:
+                account = Account(prepaid, self._clock)
+                self.account_by_customer[customer] = account
+            account.prepaid = prepaid
+
+    def take_ledger(self, ledger: GrantLedger) -> None:
+        """Takes over own terms that stand in the log."""
+        for customer, account in self.account_by_customer.items():
+            record = ledger.record(customer, self._holder.router)
+            if record is None:
+                continue
+            if record["process"] == self._holder.process:
+                if record["terms"] != account.terms:
+                    account.note_terms(record["terms"])
+            elif account.terms is not None:
+                # A later process has taken over this VM's name.
+                self.superseded = True
+
+    def records(
+        self, ledger: GrantLedger, customers: list[str], routers: int
+    ) -> Iterator[KeyedRecord]:
+        """Yields the records that these customers need now.
+
+        Args:
+            ledger: The partition, read to its end.
+            customers: Customers of the partition.
+            routers: Routers that share the budgets.
+        """
+        if self.superseded:
+            return
+        for customer in customers:
+            record = self._record(ledger, customer, routers)
+            if record is not None:
+                yield record
+
+    def _record(
+        self, ledger: GrantLedger, customer: str, routers: int
+    ) -> KeyedRecord | None:
+        account = self.account_by_customer[customer]
+        earlier = ledger.record(customer, self._holder.router)
+        lost, lost_spent = self._lost(earlier)
+        room = account.prepaid - lost
+        room -= ledger.committed(customer, self._holder.router)
+        terms = account.new_terms(_grant_to_have(account, room, routers))
+        account.resume()
+        if not self._is_worth_writing(account, terms):
+            return None
+        account.note_pending(terms)
+        message = GrantRecord(
+            process=self._holder.process,
+            terms=terms,
+            spent=account.spent,
+            lost=lost,
+            lost_spent=lost_spent,
+        )
+        key = record_key(customer, self._holder.router)
+        return KeyedRecord(key, _encoder.encode(message))
+
+    def _lost(self, earlier: GrantRecord | None) -> tuple[int, int]:
+        """Returns what earlier processes of this VM may have used, and did."""
+        if earlier is None:
+            return 0, 0
+        lost, spent = earlier.get("lost", 0), earlier.get("lost_spent", 0)
+        if earlier["process"] != self._holder.process:
+            lost += earlier["terms"].limit(self._clock.instant())
+            spent += earlier["spent"]
+        return lost, spent
+
+    def _is_worth_writing(self, account: Account, terms: Terms) -> bool:
+        """Tells whether terms differ enough from the present ones."""
+        present = account.terms
+        if present is None:
+            return terms.granted > 0
+        if account.wanted > account.free and terms.limit(
+            terms.at
+        ) > present.limit(terms.at):
+            return True
+        if account.in_use != present.in_use:
+            return self._is_due(present, terms)
+        surplus = present.granted - terms.granted
+        return (
+            surplus > max(terms.granted - terms.in_use, 0)
+            and surplus > defaults.GRANT_SURPLUS_MIN
+        ) or (present.granted > present.in_use and self._is_due(present, terms))
+
+    def _is_due(self, present: Terms, terms: Terms) -> bool:
+        """Tells whether terms are to be renewed, so that little is lost."""
+        elapsed_s = terms.at.since(present.at)
+        return elapsed_s is None or elapsed_s >= defaults.GRANT_RENEW_S
+
+
+def _grant_to_have(account: Account, room: int, routers: int) -> int:
+    """Returns the grant to have, of the tokens that nobody else has.
+
+    What is taken ahead of need shrinks with what is left, so that little lies
+    unused anywhere when a budget comes to its end.
+
+    Args:
+        account: The account.
+        room: Tokens that this process may have in all.
+        routers: Routers that share the budget.
+    """
+    left = max(0, room - account.in_use)
+    share = left / (defaults.GRANT_SHARE_DIVISOR * max(1, routers))
+    ahead = min(account.ahead, int(share))
+    return account.in_use + min(left, account.wanted + ahead)
--- a/chicorystack/budget/keeper_service.py
+++ b/chicorystack/budget/keeper_service.py
@@ -19,9 +19,9 @@
 from chicorystack.budget.shard_journal import ClosureFollower
 from chicorystack.budget.sharing import MixedSharing, SharingPolicy
 from chicorystack.errors import ApiError
+from chicorystack.infrastructure.log_client import AppendPacer, LogClient
+from chicorystack.infrastructure.messages import Vm
 from chicorystack.observe.logs import part_logger
-from chicorystack.platform.log_client import AppendPacer, LogClient
-from chicorystack.platform.messages import Vm
 from chicorystack.util import rendezvous_order
 from chicorystack.web.client import JsonClient, UnreachableError
 
--- a/chicorystack/budget/ledger.py
+++ b/chicorystack/budget/ledger.py
@@ -13,8 +13,8 @@
     Usage,
     decode_record,
 )
+from chicorystack.infrastructure.messages import LogEntry
 from chicorystack.observe.invariants import require
-from chicorystack.platform.messages import LogEntry
 from chicorystack.util import budget_id
 
 
--- a/chicorystack/budget/shard_duty.py
+++ b/chicorystack/budget/shard_duty.py
@@ -32,14 +32,14 @@
 from chicorystack.budget.sharing import SharingPolicy
 from chicorystack.budget.snapshot import LedgerReader, snapshot_records
 from chicorystack.errors import ApiError
-from chicorystack.observe.decisions import decisions
-from chicorystack.observe.logs import part_logger
-from chicorystack.observe.metrics import metrics
-from chicorystack.platform.log_client import (
+from chicorystack.infrastructure.log_client import (
     AppendPacer,
     LogClient,
     LogFollower,
 )
+from chicorystack.observe.decisions import decisions
+from chicorystack.observe.logs import part_logger
+from chicorystack.observe.metrics import metrics
 from chicorystack.util import new_id
 
 log = part_logger("keeper")
--- a/chicorystack/budget/shard_journal.py
+++ b/chicorystack/budget/shard_journal.py
@@ -7,12 +7,12 @@
 from chicorystack import defaults
 from chicorystack.budget.closures import CLOSURES_STREAM, ClosureLedger
 from chicorystack.errors import ApiError
-from chicorystack.observe.logs import part_logger
-from chicorystack.platform.log_client import (
+from chicorystack.infrastructure.log_client import (
     AppendPacer,
     LogClient,
     LogFollower,
 )
+from chicorystack.observe.logs import part_logger
 from chicorystack.web.client import UnreachableError
 
 log = part_logger("keeper")
--- a/chicorystack/budget/snapshot.py
+++ b/chicorystack/budget/snapshot.py
@@ -15,8 +15,8 @@
 from chicorystack import defaults
 from chicorystack.budget.ledger import LedgerState, ShardLedger
 from chicorystack.budget.messages import RecordHead
+from chicorystack.infrastructure.messages import LogEntry
 from chicorystack.observe.logs import part_logger
-from chicorystack.platform.messages import LogEntry
 from chicorystack.util import new_id
 
 log = part_logger("ledger")
--- a/chicorystack/calls/run_journal.py
+++ b/chicorystack/calls/run_journal.py
@@ -25,9 +25,9 @@
 )
 from chicorystack.config.model import FleetConfig
 from chicorystack.errors import ApiError, ChicoryError
+from chicorystack.infrastructure.log_client import LogClient, LogFollower
+from chicorystack.infrastructure.messages import LogEntry
 from chicorystack.observe.logs import part_logger
-from chicorystack.platform.log_client import LogClient, LogFollower
-from chicorystack.platform.messages import LogEntry
 from chicorystack.util import new_id
 from chicorystack.web.client import UnreachableError
 
--- a/chicorystack/calls/run_records.py
+++ b/chicorystack/calls/run_records.py
@@ -7,7 +7,7 @@
 
 from chicorystack import defaults
 from chicorystack.calls.run_table import KeptAnswer, Run, RunState
-from chicorystack.platform.messages import LogEntry
+from chicorystack.infrastructure.messages import LogEntry
 
 
 class RunNote(TypedDict):
--- a/chicorystack/config/fold.py
+++ b/chicorystack/config/fold.py
@@ -16,11 +16,11 @@
     ConfigRecord,
     decode_record,
 )
+from chicorystack.infrastructure.messages import LogEntry
 from chicorystack.observe.decisions import decisions
 from chicorystack.observe.invariants import require
 from chicorystack.observe.logs import part_logger
 from chicorystack.observe.metrics import metrics
-from chicorystack.platform.messages import LogEntry
 
 log = part_logger("config")
 
--- a/chicorystack/config/keeping.py
+++ b/chicorystack/config/keeping.py
@@ -8,8 +8,8 @@
 from chicorystack.config.fold import ConfigFold
 from chicorystack.config.messages import CONFIG_STREAM, ConfigKept
 from chicorystack.errors import ApiError
+from chicorystack.infrastructure.log_client import LogClient
 from chicorystack.observe.logs import part_logger
-from chicorystack.platform.log_client import LogClient
 from chicorystack.util import new_id
 from chicorystack.web.client import UnreachableError
 
--- a/chicorystack/config/peers.py
+++ b/chicorystack/config/peers.py
@@ -8,8 +8,8 @@
 from chicorystack.config.messages import ConfigInForce
 from chicorystack.config.store import ConfigStore
 from chicorystack.errors import ApiError
+from chicorystack.infrastructure.messages import Vm
 from chicorystack.observe.logs import part_logger
-from chicorystack.platform.messages import Vm
 from chicorystack.util import rendezvous_order
 from chicorystack.web.client import JsonClient, UnreachableError
 
--- a/chicorystack/config/source.py
+++ b/chicorystack/config/source.py
@@ -10,8 +10,8 @@
     config_readers,
 )
 from chicorystack.config.store import ConfigStore
-from chicorystack.platform.log_client import LogClient, LogFollower
-from chicorystack.platform.messages import LogEntry, Vm
+from chicorystack.infrastructure.log_client import LogClient, LogFollower
+from chicorystack.infrastructure.messages import LogEntry, Vm
 from chicorystack.settings.types import RouterSettings
 from chicorystack.web.client import JsonClient
 
--- a/chicorystack/config/store.py
+++ b/chicorystack/config/store.py
@@ -5,11 +5,11 @@
 from chicorystack.config.fold import ConfigFold, Publication
 from chicorystack.config.messages import CONFIG_STREAM, ConfigInForce
 from chicorystack.config.model import FleetConfig, build_config
+from chicorystack.infrastructure.messages import LogEntry
 from chicorystack.observe.decisions import decisions
 from chicorystack.observe.invariants import require
 from chicorystack.observe.logs import part_logger
 from chicorystack.observe.metrics import metrics
-from chicorystack.platform.messages import LogEntry
 
 log = part_logger("config")
 
--- a/chicorystack/ctl/audit.py
+++ b/chicorystack/ctl/audit.py
@@ -17,7 +17,7 @@
 from chicorystack.config.messages import CONFIG_STREAM, ConfigRecord
 from chicorystack.ctl.session import Session
 from chicorystack.ctl.tables import time_text
-from chicorystack.platform.messages import LogEntry
+from chicorystack.infrastructure.messages import LogEntry
 
 EXPIRED = "unknown, as earlier records have expired"
 
--- a/chicorystack/ctl/fleet.py
+++ b/chicorystack/ctl/fleet.py
@@ -11,9 +11,9 @@
 from chicorystack.ctl.session import Session
 from chicorystack.ctl.tables import table, time_text
 from chicorystack.errors import ApiError
+from chicorystack.infrastructure.messages import Vm
 from chicorystack.observe.decisions import VM_SUBJECT, Decision, ExplainReply
 from chicorystack.observe.endpoints import ProcessStatus
-from chicorystack.platform.messages import Vm
 from chicorystack.util import key_hash, shard_of
 from chicorystack.web.client import UnreachableError
 
--- a/chicorystack/ctl/session.py
+++ b/chicorystack/ctl/session.py
@@ -14,9 +14,9 @@
 from chicorystack.config.messages import CONFIG_STREAM, ConfigRecord
 from chicorystack.config.store import ConfigStore
 from chicorystack.errors import ApiError, UserError
+from chicorystack.infrastructure.log_client import LogClient
+from chicorystack.infrastructure.messages import LogEntry, Vm, VmList
 from chicorystack.observe.logs import setup_logs
-from chicorystack.platform.log_client import LogClient
-from chicorystack.platform.messages import LogEntry, Vm, VmList
 from chicorystack.settings.loader import load_settings
 from chicorystack.settings.types import CtlSettings
 from chicorystack.web.client import JsonClient, UnreachableError
--- a/chicorystack/defaults.py
+++ b/chicorystack/defaults.py
@@ -199,3 +199,93 @@
 METRICS_MAX_TIMINGS = 1_000
 DECISIONS_KEPT = 8_192
 DECISION_CAUSE_MAX_CHARS = 200
+
+# Connections to targets and to the platform's store.
+# How long an idle connection is used again where its peer says nothing.
+PEER_KEEP_ALIVE_S = 8.0
+# Part of the time that a peer promises to keep an idle connection.
+KEEP_ALIVE_PART = 0.7
+IDLE_CONNECTIONS_PER_PEER = 64
+
+# Events on standard output.
+EVENT_LINES_PER_S = 400
+EVENT_PENDING_BYTES = 1_000_000
+EVENT_FLUSH_S = 0.25
+
+# The platform's store.
+STORE_LOST_AFTER_FAILURES = 2
+STORE_CALL_TIMEOUT_S = 1.0
+STORE_CONNECT_TIMEOUT_S = 0.7
+
+# Targets of the gateway.
+# Time after the store's return in which a target that lives registers again.
+REENTRY_GRACE_S = 2.0
+
+# Grants of prepaid tokens.
+# Outage of the store that a grant is meant to outlast.
+GRANT_HORIZON_S = 9.0
+# Standard deviations of what calls use in that time, held besides.
+GRANT_SPREADS = 1.0
+GRANT_USUAL_CALL_GAIN = 0.1
+# Part of a grant that may be used at once; the rest comes with time.
+GRANT_BURST_PART = 0.15
+# How old terms may be before they are renewed.
+GRANT_RENEW_S = 0.9
+# Two boots of a VM that began within this time are taken for one.
+SAME_BOOT_S = 0.05
+GRANT_RATE_WINDOW_S = 4.0
+# A router takes ahead at most this part of its share of what is left.
+GRANT_SHARE_DIVISOR = 1.75
+# Unused tokens that are not worth a record that gives them back.
+GRANT_SURPLUS_MIN = 2_000
+GRANT_REVIEW_S = 1.0
+# Part of a budget below which routers look each review at what is left.
+GRANT_SHORT_PART = 0.25
+GRANT_CONFLICT_DELAY_MAX_S = 0.02
+# Partitions over which customers' grants are spread.
+GRANT_PARTITIONS = 2
+
+# Placement at the gateway.
+# Time in which half of what a target told of its load is forgotten.
+LOAD_HALF_LIFE_S = 0.5
+# Load for its size that a target in another data centre counts as having.
+FAR_TARGET_LOAD = 0.15
+# A session leaves its target where that has more than this times the mean
+# load, and this many calls.
+AFFINITY_LOAD_FACTOR = 1.4
+AFFINITY_LOAD_SLACK = 2.0
+# Part of its share of further attempts that a router uses; the rest covers
+# routers that count calls of a moment before.
+RETRY_SHARE_PART = 0.85
+# A target that says nothing for so many times the objective, or the longest
+# pause between events, is given up where another may take the call.
+SILENCE_OBJECTIVES = 2.5
+SILENCE_GAPS = 4.0
+
+# Calls at the gateway.
+# Time that an answer needs on its way back to the caller.
+CALLER_MARGIN_S = 0.02
+NOT_READY_RETRY_S = 0.5
+# When refused callers may come back; a range spreads them over time.
+GRANT_RETRY_RANGE_S = (0.2, 0.6)
+NO_TARGET_RETRY_RANGE_S = (0.2, 0.6)
+NOT_RUN_RETRY_RANGE_S = (0.05, 0.3)
+# How long a call waits for tokens.
+GRANT_CALL_WAIT_S = 1.0
+# Targets that may reject a call before it is refused.
+MAX_REJECTIONS = 2
+# Part of the objective below which no target could answer in time.
+LEAST_OBJECTIVE_PART = 0.25
+TARGET_CONNECT_TIMEOUT_S = 0.4
+
+# A router's life at the gateway.
+CONFIG_READ_WAIT_S = 1.0
+TARGETS_READ_PAUSE_S = 0.4
+ROUTERS_READ_PAUSE_S = 5.0
+# Routers that share a budget, until their number is known.
+ROUTERS_ASSUMED = 8
+# A stopping router serves at least so long, until the balancer has seen it.
+DRAIN_LEAST_S = 3.0
+# Time kept of the grace period for handing tokens back and closing.
+DRAIN_RESERVE_S = 1.2
+HAND_BACK_TIMEOUT_S = 0.8
--- a/chicorystack/platform/log_client.py
+++ b/chicorystack/infrastructure/log_client.py
@@ -12,13 +12,13 @@
 
 from chicorystack import defaults
 from chicorystack.errors import ApiError
-from chicorystack.observe.logs import part_logger
-from chicorystack.platform.messages import (
+from chicorystack.infrastructure.messages import (
     AppendReply,
     AppendRequest,
     LogEntry,
     ReadPage,
 )
+from chicorystack.observe.logs import part_logger
 from chicorystack.util import backoff_delay
 from chicorystack.web.client import JsonClient, UnreachableError
 
--- a/chicorystack/platform/vm_list.py
+++ b/chicorystack/infrastructure/vm_list.py
@@ -6,8 +6,8 @@
 
 from chicorystack import defaults
 from chicorystack.errors import ApiError
+from chicorystack.infrastructure.messages import Vm, VmList
 from chicorystack.observe.logs import part_logger
-from chicorystack.platform.messages import Vm, VmList
 from chicorystack.web.client import JsonClient, UnreachableError
 
 log = part_logger("vm-list")
--- a/chicorystack/membership/presence.py
+++ b/chicorystack/membership/presence.py
@@ -10,7 +10,7 @@
 from typing import NamedTuple
 
 from chicorystack import defaults
-from chicorystack.platform.messages import Vm
+from chicorystack.infrastructure.messages import Vm
 
 
 class AgentWord(NamedTuple):
--- a/chicorystack/membership/routers.py
+++ b/chicorystack/membership/routers.py
@@ -5,7 +5,7 @@
 
 from chicorystack import defaults
 from chicorystack.config.peers import live_routers
-from chicorystack.platform.messages import Vm
+from chicorystack.infrastructure.messages import Vm
 
 
 class RouterLeaving(TypedDict):
--- /dev/null
+++ b/chicorystack/observe/exposition.py
@@ -0,0 +1,34 @@
+"""Counters and latency histograms of the gateway, served as text."""
+
+from prometheus_client import CollectorRegistry, Counter, Histogram
+from prometheus_client.exposition import generate_latest
+
+REGISTRY = CollectorRegistry()
+LATENCY_BUCKETS_S = (
+    0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8,
+)  # fmt: skip
+
+requests_total = Counter(
+    "chicory_requests",
+    "Requests by kind of route and outcome",
+    ["kind", "outcome"],
+    registry=REGISTRY,
+)
+attempts_total = Counter(
+    "chicory_attempts",
+    "Attempts at targets by their end",
+    ["end"],
+    registry=REGISTRY,
+)
+first_byte_seconds = Histogram(
+    "chicory_first_byte_seconds",
+    "Time from a request's first byte to the first byte of its answer",
+    ["kind"],
+    buckets=LATENCY_BUCKETS_S,
+    registry=REGISTRY,
+)
+
+
+def metrics_text() -> bytes:
+    """Returns all metrics in the text format."""
+    return generate_latest(REGISTRY)
--- a/chicorystack/platform/__init__.py
+++ b/chicorystack/platform/__init__.py
@@ -1,1 +1,1 @@
-"""Clients of the platform: the log service and the VM list."""
+"""Translates between the product and the users' platform; decides nothing."""
--- /dev/null
+++ b/chicorystack/platform/router.py
@@ -0,0 +1,84 @@
+"""Starts a gateway router from the platform's settings file."""
+
+import os
+import sys
+from pathlib import Path
+
+from loguru import logger
+from twisted.internet import reactor
+
+from chicorystack.errors import UserError
+from chicorystack.gateway.process import Dialect, GatewayProcess
+from chicorystack.lifecycle import run_until_stopped
+from chicorystack.observe.events import emit, event_log, start_events
+from chicorystack.platform import operator_config, target_entries
+from chicorystack.platform.headers import PlatformCallers, PlatformTargets
+from chicorystack.platform.settings import (
+    SETTINGS_VARIABLE,
+    PlatformSettings,
+    SettingsError,
+    load_settings,
+)
+from chicorystack.platform.store import PlatformStore
+
+EXIT_USER_ERROR = 2
+DIALECT = Dialect(
+    callers=PlatformCallers(),
+    targets=PlatformTargets(),
+    config_partition=operator_config.PARTITION,
+    read_config=lambda update: operator_config.newest_config(update.records),
+    targets_partition=target_entries.PARTITION,
+    read_targets=lambda update: list(
+        target_entries.decode_entries(update.records)
+    ),
+)
+
+
+def settings_path() -> Path:
+    """Returns the path of the settings file; raises SettingsError."""
+    path = os.environ.get(SETTINGS_VARIABLE)
+    if not path:
+        raise SettingsError(f"{SETTINGS_VARIABLE} is not set")
+    return Path(path)
+
+
+def run(settings: PlatformSettings) -> None:
+    """Runs a router until it is told to stop."""
+    start_events(reactor, settings.gateway.name)
+    send_logs_to_events()
+    store = PlatformStore(reactor, settings.store)
+    process = GatewayProcess(reactor, settings.gateway, store, DIALECT)
+    process.start()
+    run_until_stopped(reactor, process.drain)
+    event_log.flush()
+
+
+def send_logs_to_events() -> None:
+    """Turns the log lines of shared parts into events."""
+    logger.remove()
+    logger.configure(extra={"part": "main"})
+    logger.add(_emit_line, level="INFO", format="{message}", diagnose=False)
+
+
+def _emit_line(message) -> None:
+    record = message.record
+    emit(
+        record["extra"]["part"],
+        "log",
+        level=record["level"].name,
+        message=record["message"],
+        error=repr(record["exception"].value) if record["exception"] else "",
+    )
+
+
+def main() -> None:
+    """Entry point."""
+    try:
+        run(load_settings(settings_path()))
+    except UserError as error:
+        print(f"chicory-router: {error}", file=sys.stderr)
+        sys.exit(EXIT_USER_ERROR)
+
+
+if __name__ == "__main__":
+    main()
--- a/chicorystack/router/main.py
+++ b/chicorystack/router/main.py
@@ -16,6 +16,9 @@
 from chicorystack.config.peers import live_routers
 from chicorystack.config.source import RouterConfigSource
 from chicorystack.config.store import ConfigStore
+from chicorystack.infrastructure.log_client import LogClient
+from chicorystack.infrastructure.messages import Vm
+from chicorystack.infrastructure.vm_list import VmListPoller
 from chicorystack.lifecycle import run_until_stopped
 from chicorystack.membership.announcer import AgentReady
 from chicorystack.membership.presence import Presence
@@ -31,9 +34,6 @@
 )
 from chicorystack.observe.logs import part_logger, setup_logs
 from chicorystack.observe.metrics import start_metrics
-from chicorystack.platform.log_client import LogClient
-from chicorystack.platform.messages import Vm
-from chicorystack.platform.vm_list import VmListPoller
 from chicorystack.quarantine.sentry import Sentry
 from chicorystack.quarantine.strikes import StrikesMessage, StrikeTable
 from chicorystack.router.admission import Admission
--- a/chicorystack/routing/targets.py
+++ b/chicorystack/routing/targets.py
@@ -6,8 +6,8 @@
 from chicorystack import defaults
 from chicorystack.calls.messages import LoadReport
 from chicorystack.config.model import FleetConfig, Service
+from chicorystack.infrastructure.messages import Vm
 from chicorystack.membership.presence import Presence
-from chicorystack.platform.messages import Vm
 from chicorystack.util import rendezvous_order
 
 
--- a/chicorystack/standin/log_service.py
+++ b/chicorystack/standin/log_service.py
@@ -8,7 +8,7 @@
 
 from chicorystack.calls.messages import Empty
 from chicorystack.errors import ApiError
-from chicorystack.platform.messages import (
+from chicorystack.infrastructure.messages import (
     AppendReply,
     AppendRequest,
     LogEntry,
--- a/chicorystack/standin/vm_list.py
+++ b/chicorystack/standin/vm_list.py
@@ -3,7 +3,7 @@
 from typing import TypedDict
 
 from chicorystack.calls.messages import Empty
-from chicorystack.platform.messages import Vm, VmList
+from chicorystack.infrastructure.messages import Vm, VmList
 from chicorystack.web.server import JsonEndpoint, Tree, open_to_all
 
 
--- a/tests/calls/test_single_run_machine.py
+++ b/tests/calls/test_single_run_machine.py
@@ -28,8 +28,8 @@
 from chicorystack.calls.run_table import RunTable
 from chicorystack.defaults import KEY_WINDOW_S
 from chicorystack.errors import ApiError
+from chicorystack.infrastructure.messages import LogEntry, ReadPage
 from chicorystack.observe.invariants import violations_by_name
-from chicorystack.platform.messages import LogEntry, ReadPage
 from chicorystack.web.client import UnreachableError
 
 KEYS = st.sampled_from(["a", "b", "c"])
--- a/tests/routing/test_call_queue.py
+++ b/tests/routing/test_call_queue.py
@@ -17,7 +17,7 @@
 from chicorystack import defaults
 from chicorystack.config.model import FleetConfig, Service, Site, Target
 from chicorystack.errors import ApiError
-from chicorystack.platform.messages import Vm
+from chicorystack.infrastructure.messages import Vm
 from chicorystack.routing.call_queue import CallQueue, Ticket
 from chicorystack.routing.health import HealthTable
 from chicorystack.routing.pickers import SampledLeastLoaded
