--- a/chicorystack/budget/grant_client.py
+++ b/chicorystack/budget/grant_client.py
@@ -112,7 +112,12 @@
         if not self._waiters and account.reserve(tokens):
             return GrantReservation(customer, tokens)
         if self._failures >= defaults.STORE_LOST_AFTER_FAILURES:
-            raise GrantError("the store does not answer", exhausted=False)
+            raise GrantError(
+                f"{customer} lacks tokens here and the store does not answer; "
+                f"{tokens} asked, {account.free} free of {account.granted} "
+                f"granted, {account.in_use} in use",
+                exhausted=False,
+            )
         waiter = _Waiter(customer, tokens, defer.Deferred())
         self._waiters.append(waiter)
         account.wanted += tokens
@@ -295,19 +300,26 @@
         if self._failures >= defaults.STORE_LOST_AFTER_FAILURES:
             for waiter in list(self._waiters):
                 self._fail(waiter, "the store does not answer", False)
-        return backoff_delay(self._failures)
+        return backoff_delay(self._failures, defaults.STORE_RETRY_MAX_S)
 
     def _note_reached(self) -> None:
         if self._failures >= defaults.STORE_LOST_AFTER_FAILURES:
             emit("budget", "store_regained", partition=self._partition.number)
         self._failures = 0
 
+    def _prepaid_by_customer(self) -> dict[str, int]:
+        return {
+            customer: self._book.account_by_customer[customer].prepaid
+            for customer in self._customers
+        }
+
     def _log_grants(self, records: list[KeyedRecord]) -> None:
         emit(
             "budget",
             "granted",
             partition=self._partition.number,
             end=self._ledger.end,
+            prepaid=self._prepaid_by_customer(),
             records={r.key: r.value.decode() for r in records},
         )
 
@@ -386,8 +398,7 @@
             await partition.give_back()
 
     def _review(self) -> None:
-        for account in self._book.account_by_customer.values():
-            account.note_interval(defaults.GRANT_REVIEW_S)
+        self._book.note_interval(defaults.GRANT_REVIEW_S)
         for number, partition in enumerate(self._partitions):
             if self._is_short(number):
                 partition.reread()
--- a/chicorystack/budget/grants.py
+++ b/chicorystack/budget/grants.py
@@ -60,7 +60,8 @@
         granted: Tokens that it may use in all.
         in_use: Tokens that it had used or set aside when it wrote this.
         burst: Tokens beyond that which it may use at once.
-        pace: Tokens a second that it may use besides.
+        pace: Tokens a second that it may use besides, after a delay.
+        delay_s: Time after which these begin to come.
         at: When it wrote this.
     """
 
@@ -68,6 +69,7 @@
     in_use: int
     burst: int
     pace: float
+    delay_s: float
     at: Instant
 
     def limit(self, now: Instant) -> int:
@@ -75,8 +77,8 @@
         elapsed_s = now.since(self.at)
         if elapsed_s is None:
             return self.granted
-        grown = self.in_use + self.burst + math.floor(self.pace * elapsed_s)
-        return min(self.granted, grown)
+        grown = math.floor(self.pace * max(0.0, elapsed_s - self.delay_s))
+        return min(self.granted, self.in_use + self.burst + grown)
 
 
 class GrantRecord(TypedDict):
@@ -203,6 +205,12 @@
         self._suspended = False
         self._taken = 0
         self._usual_call = 0.0
+        self._idle_s = 0.0
+
+    @property
+    def expects_calls(self) -> bool:
+        """Whether calls may come, as far as the last ones tell."""
+        return self._idle_s < defaults.GRANT_IDLE_S
 
     @property
     def in_use(self) -> int:
@@ -237,6 +245,7 @@
         if tokens > self.free:
             return False
         self.reserved += tokens
+        self._idle_s = 0.0
         return True
 
     def settle(self, reserved: int, spent: int) -> None:
@@ -258,14 +267,23 @@
         gain = min(1.0, seconds / defaults.GRANT_RATE_WINDOW_S)
         self.rate += gain * (now_rate - self.rate)
         self._taken = 0
+        self._idle_s += seconds
 
     def new_terms(self, granted: int) -> Terms:
         """Returns terms that start now."""
         ahead = max(0, granted - self.in_use)
-        burst = int(ahead * defaults.GRANT_BURST_PART) + self.wanted
-        pace = (ahead - burst) / defaults.GRANT_HORIZON_S
+        burst = int(
+            self.rate * defaults.GRANT_BURST_S
+            + self._usual_call * defaults.GRANT_BURST_CALLS
+        )
+        burst = min(ahead, burst + self.wanted)
         return Terms(
-            granted, self.in_use, burst, max(0.0, pace), self._clock.instant()
+            granted,
+            self.in_use,
+            burst,
+            (ahead - burst) / defaults.GRANT_PACE_S,
+            defaults.GRANT_PACE_DELAY_S,
+            self._clock.instant(),
         )
 
     def suspend(self) -> None:
@@ -314,6 +332,13 @@
                 self.account_by_customer[customer] = account
             account.prepaid = prepaid
 
+    def note_interval(self, seconds: float) -> None:
+        """Follows the rates of use; time without any call tells nothing."""
+        accounts = self.account_by_customer.values()
+        if any(account.in_use for account in accounts):
+            for account in accounts:
+                account.note_interval(seconds)
+
     def take_ledger(self, ledger: GrantLedger) -> None:
         """Takes over own terms that stand in the log."""
         for customer, account in self.account_by_customer.items():
@@ -412,6 +437,20 @@
         routers: Routers that share the budget.
     """
     left = max(0, room - account.in_use)
-    share = left / (defaults.GRANT_SHARE_DIVISOR * max(1, routers))
-    ahead = min(account.ahead, int(share))
+    needed = min(account.ahead, int(left * defaults.GRANT_NEED_PART))
+    ahead = max(needed, _even_share(account, left, routers))
     return account.in_use + min(left, account.wanted + ahead)
+
+
+def _even_share(account: Account, left: int, routers: int) -> int:
+    """Returns what a router holds although its calls have not shown a need.
+
+    While much is left, an outage then finds tokens at every router that a
+    customer's calls come to. Towards the end of a budget nothing is held that
+    way.
+    """
+    if not account.expects_calls:
+        return 0
+    plenty = left / max(1, account.prepaid) - defaults.GRANT_SCARCE_PART
+    part = min(1.0, max(0.0, plenty / defaults.GRANT_PLENTY_PART))
+    return int(left * part / (defaults.GRANT_SHARE_DIVISOR * max(1, routers)))
--- a/chicorystack/defaults.py
+++ b/chicorystack/defaults.py
@@ -214,7 +214,8 @@
 
 # The platform's store.
 STORE_LOST_AFTER_FAILURES = 2
-STORE_CALL_TIMEOUT_S = 1.0
+STORE_CALL_TIMEOUT_S = 0.6
+STORE_RETRY_MAX_S = 0.5
 STORE_CONNECT_TIMEOUT_S = 0.7
 
 # Targets of the gateway.
@@ -227,15 +228,28 @@
 # Standard deviations of what calls use in that time, held besides.
 GRANT_SPREADS = 1.0
 GRANT_USUAL_CALL_GAIN = 0.1
-# Part of a grant that may be used at once; the rest comes with time.
-GRANT_BURST_PART = 0.15
+# Part of a grant that may be used at once: what is used in a time, and some
+# calls of usual size.
+GRANT_BURST_S = 1.5
+GRANT_BURST_CALLS = 2.0
+# The rest may be used evenly over a time that begins after a delay.
+GRANT_PACE_DELAY_S = 1.5
+GRANT_PACE_S = 3.0
 # How old terms may be before they are renewed.
 GRANT_RENEW_S = 0.9
 # Two boots of a VM that began within this time are taken for one.
 SAME_BOOT_S = 0.05
 GRANT_RATE_WINDOW_S = 4.0
-# A router takes ahead at most this part of its share of what is left.
-GRANT_SHARE_DIVISOR = 1.75
+# A router takes ahead what it expects to need, up to this part of what is
+# left.
+GRANT_NEED_PART = 0.5
+# While much is left it holds an even share, divided by this, in any case;
+# less and less from where the rest is below the sum of the two parts.
+GRANT_SHARE_DIVISOR = 1.25
+GRANT_SCARCE_PART = 0.1
+# Time without a call after which a router expects none.
+GRANT_IDLE_S = 8.0
+GRANT_PLENTY_PART = 0.2
 # Unused tokens that are not worth a record that gives them back.
 GRANT_SURPLUS_MIN = 2_000
 GRANT_REVIEW_S = 1.0
@@ -271,7 +285,7 @@
 NO_TARGET_RETRY_RANGE_S = (0.2, 0.6)
 NOT_RUN_RETRY_RANGE_S = (0.05, 0.3)
 # How long a call waits for tokens.
-GRANT_CALL_WAIT_S = 1.0
+GRANT_CALL_WAIT_S = 0.6
 # Targets that may reject a call before it is refused.
 MAX_REJECTIONS = 2
 # Part of the objective below which no target could answer in time.
--- a/chicorystack/gateway/outcomes.py
+++ b/chicorystack/gateway/outcomes.py
@@ -94,5 +94,6 @@
         config=config,
         status=refusal.status,
         reason=refusal.reason,
+        message=refusal.message,
         retry_after_s=refusal.retry_after_s,
     )
--- a/chicorystack/gateway/peers.py
+++ b/chicorystack/gateway/peers.py
@@ -65,7 +65,10 @@
                 break
             except StoreError:
                 failures += 1
-                await task.deferLater(self._clock, backoff_delay(failures))
+                await task.deferLater(
+                    self._clock,
+                    backoff_delay(failures, defaults.STORE_RETRY_MAX_S),
+                )
         self._follower.start()
 
     def _update(self, update: Update) -> None:
--- a/chicorystack/store/follower.py
+++ b/chicorystack/store/follower.py
@@ -96,7 +96,7 @@
             return 0.0
         except StoreError as error:
             self._note_failure(error)
-            return backoff_delay(self._failures)
+            return backoff_delay(self._failures, defaults.STORE_RETRY_MAX_S)
         self._note_reached()
         self._end = found.end
         self.loaded = True
--- a/chicorystack/util.py
+++ b/chicorystack/util.py
@@ -52,7 +52,9 @@
     return f"{customer}/{budget}"
 
 
-def backoff_delay(attempt: int) -> float:
-    """Returns an exponential delay with full jitter, in seconds."""
+def backoff_delay(
+    attempt: int, max_s: float = defaults.LOG_RETRY_MAX_S
+) -> float:
+    """Returns an exponential delay with jitter, in seconds."""
     ceiling = defaults.LOG_RETRY_INITIAL_S * 2 ** min(attempt, 10)
-    return random.uniform(0.5, 1.0) * min(ceiling, defaults.LOG_RETRY_MAX_S)
+    return random.uniform(0.5, 1.0) * min(ceiling, max_s)
