--- a/chicorystack/budget/grants.py
+++ b/chicorystack/budget/grants.py
@@ -87,6 +87,7 @@
     Attributes:
         process: Id of the router process that wrote it.
         terms: What that process may use.
+        need: Tokens that it would like to hold beyond those in use.
         spent: Tokens that calls of that process have used so far.
         lost: Tokens that earlier processes of the router may have used.
         lost_spent: The part of `lost` that was reported as used.
@@ -94,6 +95,7 @@
 
     process: str
     terms: Terms
+    need: int
     spent: int
     lost: NotRequired[int]
     lost_spent: NotRequired[int]
@@ -159,6 +161,21 @@
             if router != except_router
         )
 
+    def in_use(self, customer: str) -> int:
+        """Returns tokens used, set aside or lost when routers last wrote."""
+        return sum(
+            record["terms"].in_use + record.get("lost", 0)
+            for record in self._by_customer.get(customer, {}).values()
+        )
+
+    def needed(self, customer: str, except_router: str) -> int:
+        """Returns tokens that other routers would like to hold."""
+        return sum(
+            record["need"]
+            for router, record in self._by_customer.get(customer, {}).items()
+            if router != except_router
+        )
+
     def spent(self, customer: str) -> int:
         """Returns tokens that have certainly been used."""
         records = self._by_customer.get(customer, {}).values()
@@ -205,12 +222,7 @@
         self._suspended = False
         self._taken = 0
         self._usual_call = 0.0
-        self._idle_s = 0.0
-
-    @property
-    def expects_calls(self) -> bool:
-        """Whether calls may come, as far as the last ones tell."""
-        return self._idle_s < defaults.GRANT_IDLE_S
+        self._observed_s = 0.0
 
     @property
     def in_use(self) -> int:
@@ -233,19 +245,23 @@
             limit = min(limit, self._pending.limit(now))
         return limit - self.in_use
 
-    @property
-    def ahead(self) -> int:
-        """Tokens to hold beyond those in use, to outlast an outage."""
+    def need(self, routers: int) -> int:
+        """Returns tokens to hold beyond those in use, to outlast an outage.
+
+        Before its calls have shown what a router needs, it is an even share.
+        """
         expected = self.rate * defaults.GRANT_HORIZON_S
         spread = math.sqrt(expected * self._usual_call)
-        return int(expected + spread * defaults.GRANT_SPREADS)
+        shown = int(expected + spread * defaults.GRANT_SPREADS)
+        if self._observed_s < defaults.GRANT_OBSERVED_S:
+            return max(shown, self.prepaid // (2 * routers))
+        return shown
 
     def reserve(self, tokens: int) -> bool:
         """Sets tokens aside, where they are free."""
         if tokens > self.free:
             return False
         self.reserved += tokens
-        self._idle_s = 0.0
         return True
 
     def settle(self, reserved: int, spent: int) -> None:
@@ -267,7 +283,7 @@
         gain = min(1.0, seconds / defaults.GRANT_RATE_WINDOW_S)
         self.rate += gain * (now_rate - self.rate)
         self._taken = 0
-        self._idle_s += seconds
+        self._observed_s += seconds
 
     def new_terms(self, granted: int) -> Terms:
         """Returns terms that start now."""
@@ -373,11 +389,14 @@
         self, ledger: GrantLedger, customer: str, routers: int
     ) -> KeyedRecord | None:
         account = self.account_by_customer[customer]
-        earlier = ledger.record(customer, self._holder.router)
-        lost, lost_spent = self._lost(earlier)
-        room = account.prepaid - lost
-        room -= ledger.committed(customer, self._holder.router)
-        terms = account.new_terms(_grant_to_have(account, room, routers))
+        router = self._holder.router
+        lost, lost_spent = self._lost(ledger.record(customer, router))
+        room = account.prepaid - lost - ledger.committed(customer, router)
+        need = account.need(routers)
+        ahead = _held_ahead(account, ledger, customer, router, need)
+        left = max(0, room - account.in_use)
+        granted = account.in_use + min(left, account.wanted + ahead)
+        terms = account.new_terms(granted)
         account.resume()
         if not self._is_worth_writing(account, terms):
             return None
@@ -385,12 +404,14 @@
         message = GrantRecord(
             process=self._holder.process,
             terms=terms,
+            need=need,
             spent=account.spent,
             lost=lost,
             lost_spent=lost_spent,
         )
-        key = record_key(customer, self._holder.router)
-        return KeyedRecord(key, _encoder.encode(message))
+        return KeyedRecord(
+            record_key(customer, router), _encoder.encode(message)
+        )
 
     def _lost(self, earlier: GrantRecord | None) -> tuple[int, int]:
         """Returns what earlier processes of this VM may have used, and did."""
@@ -425,32 +446,25 @@
         return elapsed_s is None or elapsed_s >= defaults.GRANT_RENEW_S
 
 
-def _grant_to_have(account: Account, room: int, routers: int) -> int:
-    """Returns the grant to have, of the tokens that nobody else has.
-
-    What is taken ahead of need shrinks with what is left, so that little lies
-    unused anywhere when a budget comes to its end.
-
-    Args:
-        account: The account.
-        room: Tokens that this process may have in all.
-        routers: Routers that share the budget.
-    """
-    left = max(0, room - account.in_use)
-    needed = min(account.ahead, int(left * defaults.GRANT_NEED_PART))
-    ahead = max(needed, _even_share(account, left, routers))
-    return account.in_use + min(left, account.wanted + ahead)
-
-
-def _even_share(account: Account, left: int, routers: int) -> int:
-    """Returns what a router holds although its calls have not shown a need.
+def _held_ahead(
+    account: Account,
+    ledger: GrantLedger,
+    customer: str,
+    router: str,
+    need: int,
+) -> int:
+    """Returns the tokens to hold beyond those in use.
 
-    While much is left, an outage then finds tokens at every router that a
-    customer's calls come to. Towards the end of a budget nothing is held that
-    way.
+    All routers together hold a part of what is left, split by their needs.
+    The part shrinks towards the end of a budget, as what a router holds when
+    its VM loses power is lost to the customer.
     """
-    if not account.expects_calls:
+    if not need or not account.prepaid:
         return 0
-    plenty = left / max(1, account.prepaid) - defaults.GRANT_SCARCE_PART
-    part = min(1.0, max(0.0, plenty / defaults.GRANT_PLENTY_PART))
-    return int(left * part / (defaults.GRANT_SHARE_DIVISOR * max(1, routers)))
+    left = max(0, account.prepaid - ledger.in_use(customer))
+    plenty = left / account.prepaid - defaults.GRANT_SCARCE_LEFT
+    slope = plenty / (defaults.GRANT_PLENTY_LEFT - defaults.GRANT_SCARCE_LEFT)
+    span = defaults.GRANT_HELD_MOST - defaults.GRANT_HELD_LEAST
+    part = defaults.GRANT_HELD_LEAST + span * min(1.0, max(0.0, slope))
+    needed = need + ledger.needed(customer, router)
+    return min(need, int(left * part * need / needed))
--- a/chicorystack/defaults.py
+++ b/chicorystack/defaults.py
@@ -240,16 +240,14 @@
 # Two boots of a VM that began within this time are taken for one.
 SAME_BOOT_S = 0.05
 GRANT_RATE_WINDOW_S = 4.0
-# A router takes ahead what it expects to need, up to this part of what is
-# left.
-GRANT_NEED_PART = 0.5
-# While much is left it holds an even share, divided by this, in any case;
-# less and less from where the rest is below the sum of the two parts.
-GRANT_SHARE_DIVISOR = 1.25
-GRANT_SCARCE_PART = 0.1
-# Time without a call after which a router expects none.
-GRANT_IDLE_S = 8.0
-GRANT_PLENTY_PART = 0.2
+# Traffic after which a router goes by its own calls alone.
+GRANT_OBSERVED_S = 8.0
+# Parts of what is left of a budget that routers hold together unused: most
+# while much of the budget is left, least when little is.
+GRANT_HELD_MOST = 0.6
+GRANT_HELD_LEAST = 0.1
+GRANT_PLENTY_LEFT = 0.5
+GRANT_SCARCE_LEFT = 0.25
 # Unused tokens that are not worth a record that gives them back.
 GRANT_SURPLUS_MIN = 2_000
 GRANT_REVIEW_S = 1.0
