--- a/chicorystack/budget/grant_client.py
+++ b/chicorystack/budget/grant_client.py
@@ -32,11 +32,13 @@
 
     Attributes:
         exhausted: Whether what is left cannot cover the call.
+        retry_after_s: When there may be some.
     """
 
-    def __init__(self, message: str, exhausted: bool):
+    def __init__(self, message: str, exhausted: bool, retry_after_s: float):
         super().__init__(message)
         self.exhausted = exhausted
+        self.retry_after_s = retry_after_s
 
 
 class _Waiter(NamedTuple):
@@ -117,6 +119,7 @@
                 f"{tokens} asked, {account.free} free of {account.granted} "
                 f"granted, {account.in_use} in use",
                 exhausted=False,
+                retry_after_s=account.wait_s(tokens),
             )
         waiter = _Waiter(customer, tokens, defer.Deferred())
         self._waiters.append(waiter)
@@ -152,9 +155,7 @@
 
     async def give_back(self) -> None:
         """Returns what is not in use, once no more calls come."""
-        for customer in self._customers:
-            self._book.account_by_customer[customer].rate = 0.0
-        if not self._busy:
+        if not self._busy and self._customers:
             self._busy = self._again = True
             await self._run()
 
@@ -268,20 +269,24 @@
             account = self._book.account_by_customer[waiter.customer]
             left = account.prepaid - self._ledger.spent(waiter.customer)
             exhausted = waiter.tokens > left
-            self._fail(
-                waiter,
-                f"{waiter.tokens} tokens are not to be had; at least "
+            error = GrantError(
+                f"{waiter.tokens} tokens are not to be had; at most "
                 f"{left} of {account.prepaid} are left",
                 exhausted,
+                defaults.GRANT_SHORT_RETRY_S,
             )
+            self._fail(waiter, error)
 
     def _give_up(self, waiter: _Waiter) -> None:
-        self._fail(waiter, "no grant came in time", exhausted=False)
+        account = self._book.account_by_customer[waiter.customer]
+        wait_s = account.wait_s(waiter.tokens)
+        error = GrantError("no grant came in time", False, wait_s)
+        self._fail(waiter, error)
 
-    def _fail(self, waiter: _Waiter, message: str, exhausted: bool) -> None:
+    def _fail(self, waiter: _Waiter, error: GrantError) -> None:
         self._forget(waiter)
         if not waiter.turn.called:
-            waiter.turn.errback(GrantError(message, exhausted))
+            waiter.turn.errback(error)
 
     def _forget(self, waiter: _Waiter) -> None:
         if waiter in self._waiters:
@@ -299,7 +304,7 @@
             )  # fmt: skip
         if self._failures >= defaults.STORE_LOST_AFTER_FAILURES:
             for waiter in list(self._waiters):
-                self._fail(waiter, "the store does not answer", False)
+                self._give_up(waiter)
         return backoff_delay(self._failures, defaults.STORE_RETRY_MAX_S)
 
     def _note_reached(self) -> None:
@@ -394,6 +399,7 @@
     async def give_back(self) -> None:
         """Returns what is not in use; errors are logged and end it."""
         self.stop()
+        self._book.close()
         for partition in self._partitions:
             await partition.give_back()
 
--- a/chicorystack/budget/grants.py
+++ b/chicorystack/budget/grants.py
@@ -245,6 +245,15 @@
             limit = min(limit, self._pending.limit(now))
         return limit - self.in_use
 
+    def wait_s(self, tokens: int) -> float:
+        """Returns when a call may have tokens without the store's help."""
+        lacking = tokens - self.free
+        if self.terms is None or not self.terms.pace:
+            return defaults.GRANT_OUTAGE_RETRY_S
+        if self.in_use + tokens > self.terms.granted:
+            return defaults.GRANT_OUTAGE_RETRY_S
+        return self.terms.delay_s + max(0, lacking) / self.terms.pace
+
     def need(self, routers: int) -> int:
         """Returns tokens to hold beyond those in use, to outlast an outage.
 
@@ -336,9 +345,14 @@
     def __init__(self, holder: Holder, clock: LeaseClock):
         self._holder = holder
         self._clock = clock
+        self._closing = False
         self.account_by_customer: dict[str, Account] = {}
         self.superseded = False
 
+    def close(self) -> None:
+        """Holds nothing beyond what is in use from now on."""
+        self._closing = True
+
     def set_prepaid(self, prepaid_by_customer: dict[str, int]) -> None:
         """Takes over what customers have prepaid."""
         for customer, prepaid in prepaid_by_customer.items():
@@ -392,7 +406,7 @@
         router = self._holder.router
         lost, lost_spent = self._lost(ledger.record(customer, router))
         room = account.prepaid - lost - ledger.committed(customer, router)
-        need = account.need(routers)
+        need = 0 if self._closing else account.need(routers)
         ahead = _held_ahead(account, ledger, customer, router, need)
         left = max(0, room - account.in_use)
         granted = account.in_use + min(left, account.wanted + ahead)
@@ -428,6 +442,8 @@
         present = account.terms
         if present is None:
             return terms.granted > 0
+        if self._closing:
+            return terms.granted < present.granted
         if account.wanted > account.free and terms.limit(
             terms.at
         ) > present.limit(terms.at):
--- a/chicorystack/defaults.py
+++ b/chicorystack/defaults.py
@@ -245,8 +245,8 @@
 # Parts of what is left of a budget that routers hold together unused: most
 # while much of the budget is left, least when little is.
 GRANT_HELD_MOST = 0.6
-GRANT_HELD_LEAST = 0.1
-GRANT_PLENTY_LEFT = 0.5
+GRANT_HELD_LEAST = 0.05
+GRANT_PLENTY_LEFT = 0.55
 GRANT_SCARCE_LEFT = 0.25
 # Unused tokens that are not worth a record that gives them back.
 GRANT_SURPLUS_MIN = 2_000
@@ -254,6 +254,10 @@
 # Part of a budget below which routers look each review at what is left.
 GRANT_SHORT_PART = 0.25
 GRANT_CONFLICT_DELAY_MAX_S = 0.02
+# When callers may come back for whom no tokens are left, or none while the
+# store is away.
+GRANT_SHORT_RETRY_S = 5.0
+GRANT_OUTAGE_RETRY_S = 3.0
 # Partitions over which customers' grants are spread.
 GRANT_PARTITIONS = 2
 
@@ -279,7 +283,6 @@
 CALLER_MARGIN_S = 0.02
 NOT_READY_RETRY_S = 0.5
 # When refused callers may come back; a range spreads them over time.
-GRANT_RETRY_RANGE_S = (0.2, 0.6)
 NO_TARGET_RETRY_RANGE_S = (0.2, 0.6)
 NOT_RUN_RETRY_RANGE_S = (0.05, 0.3)
 # How long a call waits for tokens.
--- a/chicorystack/gateway/caller_http.py
+++ b/chicorystack/gateway/caller_http.py
@@ -15,6 +15,7 @@
     CallerRequest,
     Refusal,
 )
+from chicorystack.gateway.model import CallerLimits
 from chicorystack.web.channel import max_connections
 from chicorystack.web.exchange import Address, Headers
 from chicorystack.web.graceful import GracefulSite
@@ -240,7 +241,7 @@
         self._reactor = reactor
         self.dialect = dialect
         self.serve = serve
-        self.body_bytes = 0
+        self.body_bytes = CallerLimits().body_bytes
 
     def seconds(self) -> float:
         """Returns the time on the clock."""
--- a/chicorystack/gateway/dispatcher.py
+++ b/chicorystack/gateway/dispatcher.py
@@ -109,7 +109,7 @@
         except GrantError as error:
             if error.exhausted:
                 raise refuse(402, "budget_exhausted", str(error)) from error
-            retry_s = random.uniform(*defaults.GRANT_RETRY_RANGE_S)
+            retry_s = error.retry_after_s * random.uniform(1.0, 1.5)
             raise refuse(503, "no_grant", str(error), retry_s) from error
 
     def _tokens_per_event(self, call: Call) -> int:
