Send callers elsewhere once a stopping router has been seen, and close idle connections

Change: 2.5 s after SIGTERM the port is closed and idle connections are closed as they fall idle; what is under way is finished.

--- a/chicorystack/defaults.py
+++ b/chicorystack/defaults.py
@@ -299,8 +299,8 @@
 ROUTERS_READ_PAUSE_S = 5.0
 # Routers that share a budget, until their number is known.
 ROUTERS_ASSUMED = 8
-# A stopping router serves at least so long, until the balancer has seen it.
-DRAIN_LEAST_S = 3.0
+# A stopping router takes new callers so long, until the balancer has seen it.
+DRAIN_LEAST_S = 2.5
 # Time kept of the grace period for handing tokens back and closing.
 DRAIN_RESERVE_S = 1.2
 HAND_BACK_TIMEOUT_S = 0.8
--- a/chicorystack/gateway/process.py
+++ b/chicorystack/gateway/process.py
@@ -149,12 +149,11 @@
         self._site.closing = True
         begun_at = self._reactor.seconds()
         emit("gateway", "draining", open=self._dispatcher.open_requests)
-        latest = begun_at + self._settings.stop_within_s
-        await self._wait_until_idle(
-            begun_at + defaults.DRAIN_LEAST_S,
-            latest - defaults.DRAIN_RESERVE_S,
-        )
+        await task.deferLater(self._reactor, defaults.DRAIN_LEAST_S)
+        # Whoever still comes is sent elsewhere at once, not cut off later.
         self._port.stopListening()
+        latest = begun_at + self._settings.stop_within_s
+        await self._wait_until_idle(latest - defaults.DRAIN_RESERVE_S)
         handing_back = defer.ensureDeferred(self._hand_back())
         handing_back.addTimeout(defaults.HAND_BACK_TIMEOUT_S, self._reactor)
         try:
@@ -165,11 +164,11 @@
         emit("gateway", "stopped", open=self._dispatcher.open_requests)
         self._reactor.stop()
 
-    async def _wait_until_idle(self, earliest: float, latest: float) -> None:
-        while True:
-            now = self._reactor.seconds()
-            idle = not self._dispatcher.open_requests
-            if now >= latest or (idle and now >= earliest):
+    async def _wait_until_idle(self, latest: float) -> None:
+        """Waits for requests under way, while idle connections are closed."""
+        while self._dispatcher.open_requests or self._site.open_channels:
+            self._site.close_idle()
+            if self._reactor.seconds() >= latest:
                 return
             await task.deferLater(self._reactor, defaults.DRAIN_CHECK_S)
 
--- a/chicorystack/web/graceful.py
+++ b/chicorystack/web/graceful.py
@@ -15,6 +15,12 @@
 
     closing = False
 
+    def close_idle(self) -> None:
+        """Closes the connections on which no request has begun."""
+        for channel in list(self.open_channels):
+            if not channel.requests:
+                channel.transport.loseConnection()
+
     async def close_connections(self, reactor) -> None:
         """Closes all connections once their bytes are on the wire.
 
