--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON ?= python3
 BIN := $(VENV)/bin
 
-.PHONY: install demo test format capacity chaos soak
+.PHONY: install demo platform-demo test format capacity chaos soak
 
 $(VENV)/.installed: pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -14,6 +14,10 @@
 demo: install
 	$(BIN)/python -m bench.demo
 
+# The same on stand-ins of the users' platform.
+platform-demo: install
+	$(BIN)/python -m bench.platform_demo
+
 test: install
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
--- /dev/null
+++ b/bench/platform_fleet.py
@@ -0,0 +1,272 @@
+"""A small fleet on stand-ins of the users' platform, as real processes."""
+
+import contextlib
+import json
+import os
+import signal
+import subprocess
+import sys
+from collections.abc import Iterator
+from pathlib import Path
+from typing import NamedTuple
+
+from bench.fleet import (
+    LOOPBACK,
+    Reply,
+    free_port,
+    interrupts,
+    send,
+    wait_until,
+)
+
+STREAM_HOST = "llm.example"
+KEY = "key-of-alpha"
+POOR_KEY = "key-of-beta"
+BUDGET_TOKENS = 20_000
+POOR_BUDGET_TOKENS = 100
+STOP_TIMEOUT_S = 15.0
+
+
+class RouterPorts(NamedTuple):
+    """Ports of one router."""
+
+    callers: int
+    readiness: int
+    metrics: int
+
+
+def route(name: str, service: str, kind: str, **more: object) -> dict:
+    """Returns a route as the operator writes it."""
+    fields = {
+        "Name": name,
+        "Host": STREAM_HOST,
+        "PathPrefix": f"/{name}/",
+        "Kind": kind,
+        "TimeoutMs": 5000,
+        "SloMs": 500,
+        "Service": service,
+        "MaxAttempts": 2,
+    }
+    return fields | more
+
+
+def default_config(version: int = 1) -> dict:
+    """Returns a configuration with a stream, a booking and a lookup."""
+    return {
+        "Version": version,
+        "Routes": [
+            route(
+                "ask", "llm", "streaming", StreamResume=True, TargetGapMs=300
+            ),
+            route("guide", "llm", "streaming", MaxAttempts=1, TargetGapMs=300),
+            route("book", "app", "non_idempotent", MaxAttempts=1),
+            route("status", "app", "idempotent"),
+        ],
+        "Services": [
+            {
+                "Name": "llm",
+                "MaxConnections": 100,
+                "Engine": {"KvCapacity": 90000, "Stride": 4},
+            },
+            {"Name": "app", "MaxConnections": 100},
+        ],
+        "Tenants": [
+            {"Name": "alpha", "ApiKeys": [KEY], "Prepaid": BUDGET_TOKENS},
+            {
+                "Name": "beta",
+                "ApiKeys": [POOR_KEY],
+                "Prepaid": POOR_BUDGET_TOKENS,
+            },
+        ],
+    }
+
+
+class PlatformFleet:
+    """Processes on one machine.
+
+    Attributes:
+        store_port: Port of the store.
+        port_by_engine: Ports of engines by id.
+        ports_by_router: Ports of routers by name.
+        process_by_name: All processes.
+    """
+
+    def __init__(self, directory: Path):
+        self._directory = directory
+        self.store_port = free_port()
+        self.port_by_engine: dict[str, int] = {}
+        self.ports_by_router: dict[str, RouterPorts] = {}
+        self.process_by_name: dict[str, subprocess.Popen] = {}
+
+    def start_store(self) -> None:
+        """Starts the store."""
+        self._start(
+            "store",
+            "chicorystack.platform.standin.main",
+            "store",
+            str(self.store_port),
+        )
+        wait_until(
+            "the store answers",
+            lambda: send(self.store_port, "GET", "/standin/counts").status,
+        )
+
+    def start_engine(self, name: str, service: str, born: int = 1) -> None:
+        """Starts an engine and enters it."""
+        port = free_port()
+        self.port_by_engine[name] = port
+        self._start(
+            name,
+            "chicorystack.platform.standin.main",
+            "engine",
+            str(port),
+            name,
+        )
+        wait_until(
+            f"{name} answers",
+            lambda: send(port, "GET", "/standin/counts").status,
+        )
+        self.enter_engine(name, service, born=born)
+
+    def enter_engine(
+        self, name: str, service: str, state: str = "ready", born: int = 1
+    ) -> None:
+        """Writes an engine's entry."""
+        entry = {
+            "Service": service,
+            "Address": f"{LOOPBACK}:{self.port_by_engine[name]}",
+            "Zone": "zone-a",
+            "Slots": 8,
+            "State": state,
+            "Sequence": 1,
+            "born": born,
+        }
+        self.put("keyed.servers", name, json.dumps(entry))
+
+    def start_router(self, name: str) -> None:
+        """Starts a router; it may not be ready yet."""
+        ports = RouterPorts(free_port(), free_port(), free_port())
+        self.ports_by_router[name] = ports
+        settings = {
+            "NodeName": name,
+            "NodeIp": LOOPBACK,
+            "Zone": "zone-a",
+            "Listen": {
+                "Front": f"{LOOPBACK}:{ports.callers}",
+                "ReadyAddr": f"{LOOPBACK}:{ports.readiness}",
+            },
+            "PortRange": [ports.metrics, ports.metrics],
+            "Limits": {"MaxFds": 1024, "MemoryMb": 300},
+            "Bounds": {"RetrySlack": 50, "GracePeriodS": 8},
+            "Platform": {"Address": f"{LOOPBACK}:{self.store_port}"},
+        }
+        path = self._directory / f"{name}.json"
+        path.write_text(json.dumps(settings))
+        self._start(
+            name, "chicorystack.platform.router", CHICORYSTACK_SETTINGS=path
+        )
+
+    def put(self, topic: str, key: str, value: str) -> None:
+        """Writes a record as the operator or an engine does."""
+        order = {"topic": topic, "key": key, "value": value}
+        send(self.store_port, "POST", "/standin/put", order)
+
+    def publish(self, config: dict) -> None:
+        """Writes a configuration."""
+        self.put("keyed.op", "config", json.dumps(config))
+
+    def store_faults(self, **faults: str) -> None:
+        """Sets the store's faults."""
+        send(self.store_port, "POST", "/standin/faults", faults)
+
+    def engine_faults(self, name: str, **faults: object) -> None:
+        """Sets an engine's faults."""
+        port = self.port_by_engine[name]
+        send(port, "POST", "/standin/faults", faults)
+
+    def counts(self, name: str) -> dict:
+        """Returns what an engine has done."""
+        port = self.port_by_engine[name]
+        return send(port, "GET", "/standin/counts").json()
+
+    def is_ready(self, name: str) -> bool:
+        """Tells whether a router says that it is ready."""
+        port = self.ports_by_router[name].readiness
+        return send(port, "GET", "/-/readiness").status == 200
+
+    def wait_until_ready(self) -> None:
+        """Waits for all routers."""
+        for name in self.ports_by_router:
+            wait_until(
+                f"{name} is ready", lambda name=name: self.is_ready(name)
+            )
+
+    def call(
+        self,
+        router: str,
+        path: str,
+        request_id: str,
+        headers: dict[str, str] | None = None,
+        method: str = "POST",
+        key: str = KEY,
+    ) -> Reply:
+        """Sends a request through a router."""
+        sent = {
+            "Host": STREAM_HOST,
+            "X-Chicorystack-Request-Attempt-Id": request_id,
+            "X-Chicorystack-Deadline-Ms": "4000",
+            "Authorization": f"Bearer {key}",
+        }
+        sent |= headers or {}
+        port = self.ports_by_router[router].callers
+        message = {"job": request_id} if method == "POST" else None
+        return send(port, method, path, message, sent)
+
+    def ask(
+        self, router: str, request_id: str, tokens: str = "20,40", **more: str
+    ) -> Reply:
+        """Sends a request for a stream of ten events."""
+        headers = {"X-Chicorystack-Token-Usage": tokens}
+        return self.call(router, "/ask/1", request_id, headers, **more)
+
+    def events(self, router: str) -> list[dict]:
+        """Returns the events that a router has written."""
+        text = (self._directory / f"{router}.log").read_text()
+        lines = [line for line in text.splitlines() if line.startswith("{")]
+        return [json.loads(line) for line in lines]
+
+    def signal(self, name: str, number: int) -> None:
+        """Signals a process."""
+        self.process_by_name[name].send_signal(number)
+
+    def stop(self) -> None:
+        """Ends all processes."""
+        for process in self.process_by_name.values():
+            with contextlib.suppress(ProcessLookupError):
+                process.send_signal(signal.SIGKILL)
+        for process in self.process_by_name.values():
+            process.wait(STOP_TIMEOUT_S)
+
+    def _start(
+        self, name: str, module: str, *words: str, **environment: object
+    ) -> None:
+        more = {key: str(value) for key, value in environment.items()}
+        with (self._directory / f"{name}.log").open("ab") as output:
+            self.process_by_name[name] = subprocess.Popen(
+                [sys.executable, "-m", module, *words],
+                stdout=output,
+                stderr=output,
+                env=os.environ | more,
+            )
+
+
+@contextlib.contextmanager
+def running_platform_fleet(directory: Path) -> Iterator[PlatformFleet]:
+    """Yields a fleet with a store, and ends all its processes."""
+    fleet = PlatformFleet(directory)
+    try:
+        fleet.start_store()
+        yield fleet
+    finally:
+        with interrupts.deferred():
+            fleet.stop()
--- a/chicorystack/budget/grants.py
+++ b/chicorystack/budget/grants.py
@@ -271,6 +271,8 @@
         if tokens > self.free:
             return False
         self.reserved += tokens
+        gain = defaults.GRANT_USUAL_CALL_GAIN if self._usual_call else 1.0
+        self._usual_call += gain * (tokens - self._usual_call)
         return True
 
     def settle(self, reserved: int, spent: int) -> None:
@@ -283,8 +285,6 @@
         self.reserved -= reserved
         self.spent += spent
         self._taken += spent
-        gain = defaults.GRANT_USUAL_CALL_GAIN
-        self._usual_call += gain * (reserved - self._usual_call)
 
     def note_interval(self, seconds: float) -> None:
         """Follows the rate of use over an interval that has ended."""
--- /dev/null
+++ b/tests/platform/test_decoding.py
@@ -0,0 +1,124 @@
+"""Configuration, entries, settings and records as the platform writes them."""
+
+import json
+
+import pytest
+
+from bench.platform_fleet import default_config
+from chicorystack.gateway.model import CallKind
+from chicorystack.platform import store
+from chicorystack.platform.operator_config import decode_config, newest_config
+from chicorystack.platform.settings import SettingsError, decode_settings
+from chicorystack.platform.target_entries import decode_entry
+from chicorystack.store.keyed_log import KeyedRecord, StoreError
+
+ENTRY = {
+    "Service": "s", "Address": "10.0.0.9:8080", "Zone": "z", "Version": "v1",
+    "Slots": 64, "State": "ready", "ColdRemainingMs": 0, "Sequence": 4,
+    "born": 17,
+}  # fmt: skip
+SETTINGS = {
+    "NodeName": "n", "NodeIp": "10.0.0.1", "Zone": "z", "New": 1,
+    "Listen": {"Front": "10.0.0.1:1", "ReadyAddr": "10.0.0.1:2"},
+    "PortRange": [7200, 7215],
+    "Limits": {"MaxFds": 4100, "MemoryMb": 300},
+    "Bounds": {"RetryBudgetRatio": 0.2, "RetrySlack": 52, "GracePeriodS": 8},
+    "Platform": {"Address": "10.0.0.2:3"},
+}  # fmt: skip
+
+
+def entry(**changes):
+    value = json.dumps(ENTRY | changes).encode()
+    return decode_entry(KeyedRecord("i-1", value))
+
+
+def test_routes_are_found_by_the_longest_prefix():
+    config = default_config()
+    config["Routes"] += [
+        {**config["Routes"][0], "Name": "long", "PathPrefix": "/ask/deep/"},
+    ]
+    decoded = decode_config(json.dumps(config).encode())
+    assert decoded.route("LLM.example", "/ask/deep/x").name == "long"
+    assert decoded.route("llm.example", "/ask/deeper").name == "ask"
+    assert decoded.route("llm.example", "/asked/") is None
+    assert decoded.route("other.example", "/ask/") is None
+    ask = decoded.route("llm.example", "/ask/")
+    assert (ask.kind, ask.timeout_s, ask.resumable) == (
+        CallKind.STREAM, 5.0, True,
+    )  # fmt: skip
+    assert decoded.service_by_name["llm"].engine.tokens_per_event == 4
+    assert decoded.customer_by_name["alpha"].prepaid == 20_000
+
+
+def test_newest_configuration_counts():
+    records = [
+        KeyedRecord("config", json.dumps(default_config(n)).encode())
+        for n in (3, 9)
+    ]
+    assert newest_config(records).version == 9
+    assert newest_config([KeyedRecord("other", b"{}")]) is None
+
+
+@pytest.mark.parametrize("value", [b"", b"{", b'{"Version":"x"}'])
+def test_unreadable_configuration_is_an_error(value):
+    with pytest.raises(StoreError):
+        decode_config(value)
+
+
+def test_entry_is_decoded():
+    decoded = entry()
+    assert (decoded.id, decoded.started_ms, decoded.sequence) == ("i-1", 17, 4)
+    assert str(decoded.address) == "10.0.0.9:8080"
+    assert decoded.ready
+    assert not entry(State="draining").ready
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"Address": "nowhere"},
+        {"Address": 5},
+        {"Slots": "many"},
+        {"State": "odd"},
+        {"Service": None},
+    ],
+)
+def test_entry_of_another_writer_names_no_target(changes):
+    assert entry(**changes) is None
+
+
+@pytest.mark.parametrize("value", [b"", b"\xff\x00", b"[]", b"{}"])
+def test_unreadable_entry_names_no_target(value):
+    assert decode_entry(KeyedRecord("i-1", value)) is None
+
+
+def test_settings_are_checked_and_unknown_fields_ignored():
+    settings = decode_settings(json.dumps(SETTINGS).encode())
+    assert settings.gateway.name == "n"
+    assert settings.gateway.metrics.port == 7200
+    assert str(settings.store.address) == "10.0.0.2:3"
+
+
+@pytest.mark.parametrize("missing", ["NodeName", "Listen", "Platform"])
+def test_settings_without_a_field_are_refused_by_name(missing):
+    fields = {k: v for k, v in SETTINGS.items() if k != missing}
+    with pytest.raises(SettingsError, match=missing):
+        decode_settings(json.dumps(fields).encode())
+
+
+def test_records_keep_their_offsets_and_keys():
+    records = [KeyedRecord("a", b"1"), KeyedRecord("b/c", b"")]
+    body = store.READ_PREFIX.pack(9, 0) + b"".join(
+        map(store._encode_record, records)
+    )
+    found = store._decode_records(body, 7)
+    assert found.end == 9
+    assert found.records == [
+        KeyedRecord("a", b"1", 7), KeyedRecord("b/c", b"", 8),
+    ]  # fmt: skip
+
+
+def test_cut_records_are_an_error():
+    body = store.READ_PREFIX.pack(9, 0) + store.LENGTH.pack(40)
+    with pytest.raises(StoreError):
+        store._decode_records(body, 7)
--- /dev/null
+++ b/tests/platform/test_headers.py
@@ -0,0 +1,132 @@
+"""Headers as the platform spells them, in every disguise."""
+
+import pytest
+
+from chicorystack.gateway.caller_http import RawRequest
+from chicorystack.gateway.messages import Call
+from chicorystack.gateway.model import CallKind, Route, WeightedService
+from chicorystack.gateway.targets import TargetEntry
+from chicorystack.platform.headers import PlatformCallers, PlatformTargets
+from chicorystack.web.exchange import Address
+
+ROUTE = Route(
+    "r", "h", "/a/", CallKind.STREAM, (WeightedService("s", 1),),
+    5.0, 0.8, 0.3, 2, 1, False, True, True,
+)  # fmt: skip
+TARGET = TargetEntry("i-1", 1, "s", Address("10.0.0.1", 80), "z", 8, True)
+
+
+def decode(*headers, target=b"/a/b?c=d"):
+    raw = RawRequest(b"POST", target, list(headers), b"{}", 7.0)
+    return PlatformCallers().decode(raw)
+
+
+def encode(request, left_s=1.5, last_event=None, priority=0, customer="alpha"):
+    call = Call(request, ROUTE, "s", customer, priority, 12.0, 3, "content")
+    if last_event is None:
+        last_event = request.last_event
+    sent = PlatformTargets().request(call, TARGET, left_s, last_event)
+    return {name.lower(): value for name, value in sent.headers}, sent
+
+
+def test_request_says_what_the_core_needs():
+    request = decode(
+        (b"Host", b"H.example:8080"),
+        (b"X-Chicorystack-Request-Attempt-Id", b"abc"),
+        (b"X-Chicorystack-Deadline-Ms", b"4000"),
+        (b"X-Chicorystack-Token-Usage", b"1460,80"),
+        (b"X-Chicorystack-Prompt-Prefix", b"5c1e:800, 91bd:410"),
+        (b"Last-Event-Id", b"12"),
+        (b"Authorization", b"bearer  secret "),
+    )
+    assert (request.id, request.host, request.path) == (
+        "abc", "H.example", "/a/b",
+    )  # fmt: skip
+    assert request.target == b"/a/b?c=d"
+    assert request.timeout_s == 4.0
+    assert request.tokens == (1460, 80)
+    assert request.prompt == (("5c1e", 800), ("91bd", 410))
+    assert (request.last_event, request.key) == ("12", "secret")
+
+
+@pytest.mark.parametrize(
+    "name",
+    [
+        b"X-Chicorystack-Tenant",
+        b"x-CHICORYSTACK-tenant",
+        b"X_Chicorystack_Tenant",
+        b"X-Chicorystack_Expect-Instance",
+        b"X-Chicorystack-Request-Priority",
+        b"X-Chicorystack-Kv-Hold",
+        b"X-Chicorystack-Pin-Ms",
+        b"X-Chicorystack-Kv-Backup",
+        b"Kv-From",
+        b"kv_fetch",
+        b"Transfer-Encoding",
+        b"Connection",
+        b"Keep-Alive",
+    ],
+)
+def test_headers_of_the_system_are_dropped(name):
+    assert decode((b"Host", b"h"), (name, b"forged")).headers == [
+        (b"Host", b"h")
+    ]
+
+
+def test_connection_drops_what_it_names_but_not_the_protocols_own():
+    request = decode(
+        (b"Connection", b"close, X-Own, x-chicorystack-model, Host"),
+        (b"Host", b"h"),
+        (b"X-Own", b"1"),
+        (b"X-Chicorystack-Model", b"m"),
+    )
+    assert request.headers == [(b"Host", b"h"), (b"X-Chicorystack-Model", b"m")]
+
+
+def test_key_is_not_passed_on_and_the_customer_is():
+    request = decode((b"Host", b"h"), (b"Authorization", b"Bearer k"))
+    headers, _ = encode(request)
+    assert b"authorization" not in headers
+    assert headers[b"x-chicorystack-tenant"] == b"alpha"
+    assert headers[b"x-chicorystack-expect-instance"] == b"i-1"
+    assert headers[b"x-chicorystack-deadline-ms"] == b"1500"
+    assert headers[b"x-chicorystack-request-priority"] == b"0"
+
+
+def test_resumed_stream_asks_for_what_is_missing():
+    request = decode((b"Host", b"h"), (b"Last-Event-ID", b"3"))
+    headers, sent = encode(request, last_event="9")
+    assert headers[b"last-event-id"] == b"9"
+    names = [name.lower() for name, _ in sent.headers]
+    assert names.count(b"last-event-id") == 1
+
+
+@pytest.mark.parametrize("value", [b"", b"1460", b"a,b", b"1,-2"])
+def test_unreadable_token_bounds_are_none(value):
+    assert decode((b"X-Chicorystack-Token-Usage", value)).tokens is None
+
+
+def test_head_of_an_answer():
+    head = PlatformTargets().head(
+        503,
+        [
+            (b"connection", b"close, x-hop"),
+            (b"x-hop", b"1"),
+            (b"x-chicorystack-not-executed", b"1"),
+            (b"x-chicorystack-engine-load", b"3,0,8"),
+            (b"x-chicorystack-request-attempt-id", b"abc"),
+            (b"content-length", b"0"),
+        ],
+    )
+    assert head.not_run
+    assert head.leaving
+    assert head.load == (3, 0, 8)
+    assert head.request_id == "abc"
+    assert not head.sealed
+    names = [name for name, _ in head.headers]
+    assert b"x-hop" not in names
+    assert b"connection" not in names
+
+
+def test_misdirected_request_has_not_run():
+    assert PlatformTargets().head(421, []).not_run
--- /dev/null
+++ b/tests/platform/test_names.py
@@ -0,0 +1,26 @@
+"""Only the adapter, and the tools that test it, know the platform's names."""
+
+import re
+from pathlib import Path
+
+PACKAGE = Path(__file__).parents[2] / "chicorystack"
+# Names on the platform's wire, as they are spelled there.
+WIRE_NAMES = re.compile(
+    r"x-chicorystack|CHICORYSTACK_SETTINGS|keyed\.(op|servers|status)|"
+    r"\b(WeightedServices|PathPrefix|ApiKeys|KvCapacity|MaxAttempts|"
+    r"TargetGapMs|StreamResume|AuthExempt|ColdRemainingMs|NodeName|"
+    r"ReadyAddr|GracePeriodS|TimeoutMs|SloMs)\b|"
+    r"log-(append|read|newest)|kv-from",
+    re.IGNORECASE,
+)
+
+
+def test_no_module_outside_the_adapter_knows_a_wire_name():
+    found = [
+        f"{path.relative_to(PACKAGE)}:{number}: {line.strip()}"
+        for path in sorted(PACKAGE.rglob("*.py"))
+        if PACKAGE / "platform" not in path.parents
+        for number, line in enumerate(path.read_text().splitlines(), 1)
+        if WIRE_NAMES.search(line)
+    ]
+    assert found == []
--- /dev/null
+++ b/tests/platform/test_path.py
@@ -0,0 +1,316 @@
+"""The whole path on stand-ins of the platform, as real processes."""
+
+import http.client
+import json
+import signal
+import socket
+import time
+
+import pytest
+
+from bench.fleet import LOOPBACK, wait_until
+from bench.platform_fleet import (
+    KEY,
+    STREAM_HOST,
+    default_config,
+    route,
+    running_platform_fleet,
+)
+
+ENGINES = {
+    "i-llm-1": "llm",
+    "i-llm-2": "llm",
+    "i-app-1": "app",
+    "i-app-2": "app",
+}
+CONFIG_IN_FORCE_S = 2.0
+
+
+@pytest.fixture(scope="module")
+def shared(tmp_path_factory):
+    with running_platform_fleet(tmp_path_factory.mktemp("platform")) as fleet:
+        for name, service in ENGINES.items():
+            fleet.start_engine(name, service)
+        for router in ("router-1", "router-2"):
+            fleet.start_router(router)
+        fleet.publish(default_config())
+        fleet.wait_until_ready()
+        yield fleet
+
+
+@pytest.fixture
+def fleet(shared):
+    """The fleet with sound engines and a sound store."""
+    yield shared
+    shared.store_faults()
+    for name in ENGINES:
+        shared.engine_faults(name)
+
+
+def set_app_faults(fleet, **faults):
+    for name in ("i-app-1", "i-app-2"):
+        fleet.engine_faults(name, **faults)
+
+
+def runs_of(fleet, request_id):
+    return sum(
+        fleet.counts(name)["runs_by_id"].get(request_id, 0) for name in ENGINES
+    )
+
+
+def ids_of(body):
+    lines = body.decode().split("\n")
+    return [int(line[4:]) for line in lines if line.startswith("id: ")]
+
+
+def test_stream_arrives_whole_with_the_engines_signature(fleet):
+    reply = fleet.ask("router-1", "whole-1")
+    assert reply.status == 200
+    assert ids_of(reply.body) == list(range(1, 11))
+    assert reply.headers["x-chicorystack-response-seal"]
+    assert reply.headers["x-chicorystack-request-attempt-id"] == "whole-1"
+
+
+def test_broken_stream_goes_on_at_another_engine(fleet):
+    for name in ("i-llm-1", "i-llm-2"):
+        fleet.engine_faults(name, break_after=6)
+    reply = fleet.ask("router-1", "resumed-1")
+    assert ids_of(reply.body) == list(range(1, 11))
+    assert runs_of(fleet, "resumed-1") == 2
+
+
+def test_stream_that_may_not_be_resumed_looks_cut(fleet):
+    for name in ("i-llm-1", "i-llm-2"):
+        fleet.engine_faults(name, break_after=4)
+    with pytest.raises(http.client.IncompleteRead):
+        fleet.call(
+            "router-1",
+            "/guide/1",
+            "cut-1",
+            {"X-Chicorystack-Token-Usage": "20,40"},
+        )
+    assert runs_of(fleet, "cut-1") == 1
+
+
+def test_booking_whose_answer_is_lost_is_not_run_again(fleet):
+    set_app_faults(fleet, lose=True)
+    reply = fleet.call("router-1", "/book/1", "lost-1")
+    assert reply.status == 502
+    assert runs_of(fleet, "lost-1") == 1
+
+
+def test_booking_that_all_engines_reject_has_not_run(fleet):
+    set_app_faults(fleet, shed=True)
+    reply = fleet.call("router-1", "/book/1", "shed-1")
+    assert reply.status == 503
+    assert float(reply.headers["retry-after"]) > 0
+    assert runs_of(fleet, "shed-1") == 0
+
+
+def test_lookup_is_asked_again_where_an_engine_fails(fleet):
+    fleet.engine_faults("i-app-1", fail=True)
+    replies = [
+        fleet.call("router-1", "/status/1", f"again-{n}", method="GET")
+        for n in range(6)
+    ]
+    assert [reply.status for reply in replies] == [200] * 6
+
+
+@pytest.mark.parametrize("fault", ["foreign", "unsigned"])
+def test_answer_that_is_not_the_callers_is_not_passed_on(fleet, fault):
+    set_app_faults(fleet, **{fault: True})
+    reply = fleet.call("router-1", "/book/1", f"mixed-{fault}")
+    assert reply.status == 502
+    assert b"engine" not in reply.body
+
+
+def test_bytes_after_an_answer_belong_to_no_request(fleet):
+    set_app_faults(fleet, surplus=True)
+    replies = [
+        fleet.call("router-1", "/status/1", f"surplus-{n}", method="GET")
+        for n in range(5)
+    ]
+    assert [reply.status for reply in replies] == [200] * 5
+
+
+def test_forged_headers_do_not_reach_an_engine(fleet):
+    forged = {
+        "X-CHICORYSTACK-tenant": "somebody",
+        "x-chicorystack-expect-instance": "i-none",
+        "X_Chicorystack_Kv_Hold": "h",
+        "Kv-From": "10.0.0.1:1/x",
+        "Connection": "keep-alive, X-Chicorystack-Request-Attempt-Id, X-Own",
+        "X-Own": "1",
+        "X-Passed-On": "yes",
+    }
+    assert fleet.call("router-1", "/book/1", "forged-1", forged).status == 200
+    name = next(
+        n for n in ("i-app-1", "i-app-2")
+        if "forged-1" in fleet.counts(n)["runs_by_id"]
+    )  # fmt: skip
+    seen = fleet.counts(name)["seen"]
+    assert seen["x-chicorystack-tenant"] == "alpha"
+    assert seen["x-chicorystack-expect-instance"] == name
+    assert seen["x-passed-on"] == "yes"
+    for absent in (
+        "authorization",
+        "kv-from",
+        "x_chicorystack_kv_hold",
+        "x-own",
+    ):
+        assert absent not in seen
+
+
+def test_engine_is_told_what_is_left_of_the_callers_time(fleet):
+    reply = fleet.call("router-1", "/book/1", "left-1")
+    assert reply.status == 200
+    seen = [fleet.counts(name)["seen"] for name in ("i-app-1", "i-app-2")]
+    left = [
+        int(headers["x-chicorystack-deadline-ms"])
+        for headers in seen
+        if headers.get("x-chicorystack-request-attempt-id") == "left-1"
+    ]
+    assert 3000 < left[0] < 4000
+
+
+def test_caller_is_answered_at_its_deadline(fleet):
+    set_app_faults(fleet, silent=True)
+    began = time.monotonic()
+    reply = fleet.call(
+        "router-1", "/book/1", "late-1", {"X-Chicorystack-Deadline-Ms": "400"}
+    )
+    assert reply.status == 504
+    assert 0.3 < time.monotonic() - began < 0.8
+
+
+def test_engine_hears_that_the_caller_has_left(fleet):
+    set_app_faults(fleet, silent=True)
+    port = fleet.ports_by_router["router-1"].callers
+    with socket.create_connection((LOOPBACK, port)) as caller:
+        caller.sendall(
+            f"GET /status/1 HTTP/1.1\r\nHost: {STREAM_HOST}\r\n"
+            f"Authorization: Bearer {KEY}\r\n"
+            "X-Chicorystack-Request-Attempt-Id: left\r\n\r\n".encode()
+        )
+        time.sleep(0.2)
+    wait_until(
+        "the router has noticed",
+        lambda: any(
+            event.get("id") == "left" and event["event"] == "caller_left"
+            for event in fleet.events("router-1")
+        ),
+        2.0,
+    )
+
+
+def test_unknown_key_route_and_budget_are_refused(fleet):
+    assert fleet.ask("router-1", "r-1", key="no-key").status == 401
+    assert fleet.call("router-1", "/nowhere/1", "r-2").status == 404
+    assert fleet.ask("router-1", "r-3", tokens="20000,40").status == 402
+
+
+def test_entry_with_another_engines_address_is_not_used(fleet):
+    fleet.port_by_engine["i-old"] = fleet.port_by_engine["i-app-1"]
+    fleet.enter_engine("i-old", "app")
+    try:
+        wait_until(
+            "it is known",
+            lambda: any(
+                event.get("target") == "i-old"
+                for event in fleet.events("router-1")
+            ),
+        )
+        replies = [
+            fleet.call("router-1", "/book/1", f"reused-{n}") for n in range(6)
+        ]
+        assert [reply.status for reply in replies] == [200] * 6
+    finally:
+        fleet.put("keyed.servers", "i-old", "")
+        del fleet.port_by_engine["i-old"]
+
+
+def test_leaving_engine_gets_nothing_new(fleet):
+    fleet.enter_engine("i-app-2", "app", "draining")
+    try:
+        time.sleep(1.0)
+        before = fleet.counts("i-app-2")["runs"]
+        for n in range(4):
+            assert fleet.call("router-1", "/book/1", f"drain-{n}").status == 200
+        assert fleet.counts("i-app-2")["runs"] == before
+    finally:
+        fleet.enter_engine("i-app-2", "app")
+        time.sleep(0.6)
+
+
+def test_configuration_is_in_force_at_once_and_a_key_can_be_taken(fleet):
+    config = default_config(2)
+    config["Routes"].append(route("new", "app", "idempotent"))
+    config["Tenants"][1]["ApiKeys"] = []
+    fleet.publish(config)
+    time.sleep(CONFIG_IN_FORCE_S / 2)
+    for router in fleet.ports_by_router:
+        reply = fleet.call(router, "/new/1", f"new-{router}", method="GET")
+        assert reply.status == 200
+        reply = fleet.call(router, "/new/1", "x", key="key-of-beta")
+        assert reply.status == 401
+
+
+def test_calls_go_on_while_the_store_is_away(fleet):
+    fleet.ask("router-1", "before-outage")
+    time.sleep(1.2)
+    fleet.store_faults(reads="silent", appends="silent")
+    time.sleep(1.0)
+    assert fleet.call("router-1", "/book/1", "outage-1").status == 200
+    assert fleet.ask("router-1", "outage-2").status == 200
+    assert fleet.is_ready("router-1")
+
+
+def test_each_request_has_its_event(fleet):
+    fleet.ask("router-1", "told-1")
+    wait_until(
+        "its event is written",
+        lambda: any(e.get("id") == "told-1" for e in fleet.events("router-1")),
+    )
+    (event,) = [e for e in fleet.events("router-1") if e.get("id") == "told-1"]
+    assert event["event"] == "delivered"
+    assert event["customer"] == "alpha"
+    assert event["tokens"] == 60
+    assert event["attempts"][0][0] in ENGINES
+
+
+def test_router_without_a_configuration_promises_nothing_has_run(tmp_path):
+    with running_platform_fleet(tmp_path) as fleet:
+        fleet.start_router("router-1")
+        wait_until(
+            "it answers",
+            lambda: fleet.call("router-1", "/book/1", "early").status == 503,
+        )
+        assert not fleet.is_ready("router-1")
+
+
+def test_planned_stop_cuts_nothing(tmp_path):
+    with running_platform_fleet(tmp_path) as fleet:
+        fleet.start_engine("i-llm-1", "llm")
+        fleet.start_router("router-1")
+        fleet.publish(default_config())
+        fleet.wait_until_ready()
+        port = fleet.ports_by_router["router-1"].callers
+        caller = http.client.HTTPConnection(LOOPBACK, port, timeout=10)
+        headers = {
+            "Host": STREAM_HOST,
+            "Authorization": f"Bearer {KEY}",
+            "X-Chicorystack-Request-Attempt-Id": "stop-1",
+            "X-Chicorystack-Token-Usage": "20,800",
+        }
+        caller.request("POST", "/ask/1", json.dumps({}), headers)
+        response = caller.getresponse()
+        response.read(10)
+        fleet.signal("router-1", signal.SIGTERM)
+        time.sleep(0.2)
+        assert not fleet.is_ready("router-1")
+        assert len(ids_of(b"id: 1\n" + response.read())) >= 200
+        assert fleet.process_by_name["router-1"].wait(10) == 0
+        (stopped,) = [
+            e for e in fleet.events("router-1") if e["event"] == "stopped"
+        ]
+        assert stopped["open"] == 0
