--- a/chicorystack/budget/grant_client.py
+++ b/chicorystack/budget/grant_client.py
@@ -297,6 +297,8 @@
     def _note_failure(self, error: StoreError) -> float:
         self._failures += 1
         self._stale = True
+        # Terms may have grown meanwhile.
+        self._serve_waiters()
         if self._failures == defaults.STORE_LOST_AFTER_FAILURES:
             emit(
                 "budget", "store_lost", partition=self._partition.number,
--- a/chicorystack/gateway/process.py
+++ b/chicorystack/gateway/process.py
@@ -112,13 +112,14 @@
         placer = ByRoute(
             PrefixAffinity(loads), LeastLoaded(settings.data_centre, loads)
         )
+        self._retries = RetryShare(reactor, settings, self._routers.count)
         self._dispatcher = Dispatcher(
             reactor,
             lambda: self._config,
             dialect.targets,
             TargetPool(reactor, self._registry, loads, placer),
             self._grants,
-            RetryShare(reactor, settings, self._routers.count),
+            self._retries,
         )
         self._site = GatewaySite(
             reactor, dialect.callers, self._dispatcher.serve
@@ -141,6 +142,14 @@
         self._grants.start()
         emit("gateway", "started", callers=str(settings.callers))
 
+    def reload(self, settings: GatewaySettings) -> None:
+        """Takes over changed settings; addresses stay until a restart."""
+        if settings == self._settings:
+            return
+        emit("gateway", "reloaded", before=self._settings, now=settings)
+        self._settings = settings
+        self._retries.set_settings(settings)
+
     async def drain(self) -> None:
         """Finishes what is under way, then stops the reactor."""
         if self._draining:
--- a/chicorystack/gateway/retry_share.py
+++ b/chicorystack/gateway/retry_share.py
@@ -55,6 +55,10 @@
         self._calls = _Span(clock, settings.retry_window_s)
         self._retries = _Span(clock, settings.retry_window_s)
 
+    def set_settings(self, settings: GatewaySettings) -> None:
+        """Takes over changed bounds; the span stays that of the start."""
+        self._settings = settings
+
     def note_call(self, service: str) -> None:
         """Counts a call for a service."""
         self._calls.add(service)
--- a/chicorystack/platform/router.py
+++ b/chicorystack/platform/router.py
@@ -19,6 +19,7 @@
     SettingsError,
     load_settings,
 )
+from chicorystack.platform.settings_watch import SettingsWatch
 from chicorystack.platform.store import PlatformStore
 
 EXIT_USER_ERROR = 2
@@ -42,13 +43,20 @@
     return Path(path)
 
 
-def run(settings: PlatformSettings) -> None:
+def run(path: Path) -> None:
     """Runs a router until it is told to stop."""
+    settings = load_settings(path)
     start_events(reactor, settings.gateway.name)
     send_logs_to_events()
     store = PlatformStore(reactor, settings.store)
     process = GatewayProcess(reactor, settings.gateway, store, DIALECT)
     process.start()
+
+    def reload(changed: PlatformSettings) -> None:
+        process.reload(changed.gateway)
+        store.reload(changed.store)
+
+    SettingsWatch(reactor, path, settings, reload).start()
     run_until_stopped(reactor, process.drain)
     event_log.flush()
 
@@ -74,7 +82,7 @@
 def main() -> None:
     """Entry point."""
     try:
-        run(load_settings(settings_path()))
+        run(settings_path())
     except UserError as error:
         print(f"chicory-router: {error}", file=sys.stderr)
         sys.exit(EXIT_USER_ERROR)
--- a/chicorystack/platform/store.py
+++ b/chicorystack/platform/store.py
@@ -17,6 +17,7 @@
     Records,
     StoreError,
 )
+from chicorystack.store.patience import CallPatience
 from chicorystack.web.exchange import (
     Address,
     ConnectionPool,
@@ -91,9 +92,19 @@
 
     def __init__(self, reactor, settings: StoreSettings):
         self._reactor = reactor
-        self._host = str(settings.address).encode()
+        self._patience = CallPatience()
+        self._connect_to(settings.address)
+
+    def reload(self, settings: StoreSettings) -> None:
+        """Takes over a changed address; calls under way end on the old one."""
+        if settings.address != self._pool.address:
+            self._pool.close()
+            self._connect_to(settings.address)
+
+    def _connect_to(self, address: Address) -> None:
+        self._host = str(address).encode()
         self._pool = ConnectionPool(
-            reactor, settings.address, defaults.STORE_CONNECT_TIMEOUT_S
+            self._reactor, address, defaults.STORE_CONNECT_TIMEOUT_S
         )
 
     async def newest(self, partition: Partition) -> Records:
@@ -163,11 +174,16 @@
             [(b"host", self._host)],
             body,
         )
-        timeout_s = defaults.STORE_CALL_TIMEOUT_S + wait_s
+        asked_at = self._reactor.seconds()
+        timeout_s = self._patience.timeout_s + wait_s
         try:
-            return await fetch(self._reactor, self._pool, request, timeout_s)
+            answer = await fetch(self._reactor, self._pool, request, timeout_s)
         except ExchangeError as error:
+            self._patience.note_failure()
             raise StoreError(f"{name}: {error}", error.sent) from error
+        if not wait_s:
+            self._patience.note_answer(self._reactor.seconds() - asked_at)
+        return answer
 
 
 def _query(partition: Partition) -> dict[str, str | int]:
