--- a/bench/demo.py
+++ b/bench/demo.py
@@ -6,6 +6,7 @@
 import sys
 import tempfile
 import time
+from collections.abc import Callable
 from pathlib import Path
 from typing import TypedDict
 
@@ -221,13 +222,12 @@
     )
 
 
-def main() -> int:
-    """Runs the demo and returns its exit code."""
+def play(prefix: str, run_in: Callable[[Path], Summary]) -> int:
+    """Runs a demo in a new folder for its logs and returns its exit code."""
     interrupts.install()
-    directory = Path(tempfile.mkdtemp(prefix="chicory-demo-"))
+    directory = Path(tempfile.mkdtemp(prefix=prefix))
     try:
-        with running_fleet(EXAMPLE, directory) as fleet:
-            summary = run(fleet)
+        summary = run_in(directory)
     except (FleetError, OSError) as error:
         say(f"demo failed: {error}; logs are in {directory}")
         return 1
@@ -242,5 +242,16 @@
     return 0 if summary["ok"] else 1
 
 
+def run_in(directory: Path) -> Summary:
+    """Runs this demo with its logs in a folder."""
+    with running_fleet(EXAMPLE, directory) as fleet:
+        return run(fleet)
+
+
+def main() -> int:
+    """Runs the demo and returns its exit code."""
+    return play("chicory-demo-", run_in)
+
+
 if __name__ == "__main__":
     sys.exit(main())
--- a/bench/platform_demo.py
+++ b/bench/platform_demo.py
@@ -3,15 +3,11 @@
 Ends with one line of JSON with the same fields as the other demo.
 """
 
-import json
-import shutil
 import sys
-import tempfile
-import time
 from pathlib import Path
 
-from bench.demo import EXIT_INTERRUPTED, Summary, say
-from bench.fleet import FleetError, interrupts, wait_until
+from bench.demo import Summary, play, say
+from bench.fleet import wait_until
 from bench.platform_fleet import (
     BUDGET_TOKENS,
     POOR_BUDGET_TOKENS,
@@ -99,27 +95,15 @@
     )
 
 
+def run_in(directory: Path) -> Summary:
+    """Runs this demo with its logs in a folder."""
+    with running_platform_fleet(directory) as fleet:
+        return run(fleet)
+
+
 def main() -> int:
     """Runs the demo and returns its exit code."""
-    interrupts.install()
-    began = time.monotonic()
-    directory = Path(tempfile.mkdtemp(prefix="chicory-platform-"))
-    try:
-        with running_platform_fleet(directory) as fleet:
-            summary = run(fleet)
-    except (FleetError, OSError) as error:
-        say(f"demo failed: {error}; logs are in {directory}")
-        return 1
-    except KeyboardInterrupt:
-        say("demo interrupted; all processes have been ended")
-        return EXIT_INTERRUPTED
-    if summary["ok"]:
-        shutil.rmtree(directory)
-    else:
-        say(f"figures do not agree; logs are in {directory}")
-    say(f"took {time.monotonic() - began:.1f} s")
-    say(json.dumps(summary))
-    return 0 if summary["ok"] else 1
+    return play("chicory-platform-", run_in)
 
 
 if __name__ == "__main__":
--- a/chicorystack/budget/boot_clock.py
+++ b/chicorystack/budget/boot_clock.py
@@ -2,7 +2,7 @@
 
 import time
 
-from chicorystack.budget.grants import Instant
+from chicorystack.budget.grant_records import Instant
 
 
 class BootClock:
--- /dev/null
+++ b/chicorystack/budget/grant_partition.py
@@ -0,0 +1,333 @@
+"""The grants of one partition: reads, appends, and calls that wait."""
+
+import random
+from collections.abc import Callable
+from typing import NamedTuple
+
+from twisted.internet import defer, task
+
+from chicorystack import defaults
+from chicorystack.budget.grant_records import GrantLedger, GrantReservation
+from chicorystack.budget.grants import GrantBook
+from chicorystack.errors import ChicoryError
+from chicorystack.observe.events import emit
+from chicorystack.store.keyed_log import (
+    ConflictError,
+    HistoryGoneError,
+    KeyedLog,
+    KeyedRecord,
+    Partition,
+    StoreError,
+)
+from chicorystack.util import backoff_delay
+
+
+class GrantError(ChicoryError):
+    """There are no tokens for a call now.
+
+    Attributes:
+        exhausted: Whether what is left cannot cover the call.
+        retry_after_s: When there may be some.
+    """
+
+    def __init__(self, message: str, exhausted: bool, retry_after_s: float):
+        super().__init__(message)
+        self.exhausted = exhausted
+        self.retry_after_s = retry_after_s
+
+
+class _Waiter(NamedTuple):
+    """A call that waits for tokens.
+
+    Attributes:
+        customer: Who pays.
+        tokens: Tokens that it needs.
+        turn: Fires once they are set aside.
+    """
+
+    customer: str
+    tokens: int
+    turn: "defer.Deferred[None]"
+
+
+class _Append(NamedTuple):
+    """An append under a condition.
+
+    Attributes:
+        records: The records.
+        start: Offset at which the partition has to end.
+    """
+
+    records: list[KeyedRecord]
+    start: int
+
+
+class GrantPartition:
+    """The grants of the customers of one partition."""
+
+    def __init__(
+        self,
+        clock,
+        log: KeyedLog,
+        partition: Partition,
+        book: GrantBook,
+        routers: Callable[[], int],
+    ):
+        self._clock = clock
+        self._log = log
+        self._partition = partition
+        self._book = book
+        self._routers = routers
+        self._ledger = GrantLedger()
+        self._customers: list[str] = []
+        self._waiters: list[_Waiter] = []
+        self._busy = False
+        self._again = False
+        # Whether the partition may have grown since it was read.
+        self._stale = False
+        # Whether it has been read in the round under way.
+        self._verified = False
+        # Records whose append had no answer, and where they may stand yet.
+        self._unanswered: _Append | None = None
+        self._failures = 0
+
+    def set_customers(self, customers: list[str]) -> None:
+        """Takes over which customers belong to the partition."""
+        self._customers = customers
+
+    def reread(self) -> None:
+        """Reads the partition before the next decision."""
+        self._stale = True
+        self._again = True
+        self.review()
+
+    async def reserve(
+        self, customer: str, tokens: int, give_up_at: float
+    ) -> GrantReservation:
+        """Sets tokens aside; raises GrantError."""
+        account = self._book.account_by_customer[customer]
+        if not self._waiters and account.reserve(tokens):
+            return GrantReservation(customer, tokens)
+        if self._failures >= defaults.STORE_LOST_AFTER_FAILURES:
+            raise GrantError(
+                f"{customer} lacks tokens here and the store does not answer; "
+                f"{tokens} asked, {account.free} free of {account.granted} "
+                f"granted, {account.in_use} in use",
+                exhausted=False,
+                retry_after_s=account.wait_s(tokens),
+            )
+        waiter = _Waiter(customer, tokens, defer.Deferred())
+        self._waiters.append(waiter)
+        account.wanted += tokens
+        timer = self._clock.callLater(
+            max(0.0, give_up_at - self._clock.seconds()), self._give_up, waiter
+        )
+        self.review()
+        try:
+            await waiter.turn
+        finally:
+            if timer.active():
+                timer.cancel()
+            self._forget(waiter)
+        return GrantReservation(customer, tokens)
+
+    def review(self) -> None:
+        """Writes what is due, unless a call to the store is under way."""
+        if not self._customers:
+            return
+        self._again = True
+        if self._busy:
+            return
+        self._busy = True
+        running = defer.ensureDeferred(self._run())
+        running.addErrback(_log_failure, self._partition)
+
+    def is_short(self, customer: str) -> bool:
+        """Tells whether little of a budget is left, as far as is known."""
+        account = self._book.account_by_customer[customer]
+        left = account.prepaid - self._ledger.committed(customer)
+        return left < account.prepaid * defaults.GRANT_SHORT_PART
+
+    async def give_back(self) -> None:
+        """Returns what is not in use, once no more calls come."""
+        if not self._busy and self._customers:
+            self._busy = self._again = True
+            await self._run()
+
+    async def _run(self) -> None:
+        try:
+            while self._again:
+                self._again = False
+                self._verified = False
+                while await self._step():
+                    pass
+        finally:
+            self._busy = False
+
+    async def _step(self) -> bool:
+        """Makes one round; returns whether another is due at once."""
+        try:
+            if self._ledger.end is None or self._stale:
+                await self._read()
+            return await self._write()
+        except ConflictError:
+            # A conflict says that the append without an answer has failed,
+            # or that it stands; the read that follows tells which.
+            self._stale = True
+            delay_s = random.uniform(0, defaults.GRANT_CONFLICT_DELAY_MAX_S)
+        except HistoryGoneError:
+            self._ledger.end = None
+            return True
+        except StoreError as error:
+            delay_s = self._note_failure(error)
+        await task.deferLater(self._clock, delay_s)
+        return True
+
+    async def _read(self) -> None:
+        if self._ledger.end is None:
+            found = await self._log.newest(self._partition)
+            self._ledger.load(found.records, found.end)
+        else:
+            start = self._ledger.end
+            found = await self._log.read(self._partition, start, 0.0)
+            self._ledger.apply(found.records, found.end)
+        self._stale = False
+        self._verified = True
+        self._note_reached()
+        self._take_ledger()
+
+    async def _write(self) -> bool:
+        unanswered = self._unanswered
+        append = self._next_append()
+        if append is None:
+            return self._end_round()
+        try:
+            offset = await self._log.append(
+                self._partition, append.records, append.start
+            )
+        except ConflictError:
+            self._unanswered = None
+            raise
+        except StoreError as error:
+            if error.maybe_done or append is unanswered:
+                self._unanswered = append
+            raise
+        self._unanswered = None
+        self._stale = False
+        self._verified = True
+        self._note_reached()
+        self._ledger.apply(append.records, offset + len(append.records))
+        self._take_ledger()
+        self._log_grants(append.records)
+        return bool(self._waiters)
+
+    def _next_append(self) -> "_Append | None":
+        """Returns what to append.
+
+        An append without an answer may still take effect while the partition
+        ends where it did, so it is sent again until one of the two has.
+        """
+        waiting = self._unanswered
+        if waiting is not None and waiting.start == self._ledger.end:
+            return waiting
+        self._unanswered = None
+        records = self._book.records(
+            self._ledger, self._customers, max(1, self._routers())
+        )
+        found = list(records)
+        return _Append(found, self._ledger.end) if found else None
+
+    def _end_round(self) -> bool:
+        """Refuses calls that a fresh ledger has no tokens for."""
+        if not self._waiters:
+            return False
+        if self._verified:
+            self._refuse_hopeless()
+            return False
+        self._stale = True
+        return True
+
+    def _take_ledger(self) -> None:
+        self._book.take_ledger(self._ledger)
+        self._serve_waiters()
+
+    def _serve_waiters(self) -> None:
+        for waiter in list(self._waiters):
+            account = self._book.account_by_customer[waiter.customer]
+            if account.reserve(waiter.tokens):
+                self._forget(waiter)
+                waiter.turn.callback(None)
+
+    def _refuse_hopeless(self) -> None:
+        """Refuses those whose tokens could not be had from a fresh ledger."""
+        for waiter in list(self._waiters):
+            account = self._book.account_by_customer[waiter.customer]
+            left = account.prepaid - self._ledger.spent(waiter.customer)
+            exhausted = waiter.tokens > left
+            error = GrantError(
+                f"{waiter.tokens} tokens are not to be had; at most "
+                f"{left} of {account.prepaid} are left",
+                exhausted,
+                defaults.GRANT_SHORT_RETRY_S,
+            )
+            self._fail(waiter, error)
+
+    def _give_up(self, waiter: _Waiter) -> None:
+        account = self._book.account_by_customer[waiter.customer]
+        wait_s = account.wait_s(waiter.tokens)
+        error = GrantError("no grant came in time", False, wait_s)
+        self._fail(waiter, error)
+
+    def _fail(self, waiter: _Waiter, error: GrantError) -> None:
+        self._forget(waiter)
+        if not waiter.turn.called:
+            waiter.turn.errback(error)
+
+    def _forget(self, waiter: _Waiter) -> None:
+        if waiter in self._waiters:
+            self._waiters.remove(waiter)
+            account = self._book.account_by_customer[waiter.customer]
+            account.wanted -= waiter.tokens
+
+    def _note_failure(self, error: StoreError) -> float:
+        self._failures += 1
+        self._stale = True
+        # Terms may have grown meanwhile.
+        self._serve_waiters()
+        if self._failures == defaults.STORE_LOST_AFTER_FAILURES:
+            emit(
+                "budget", "store_lost", partition=self._partition.number,
+                reason=str(error), waiting=len(self._waiters),
+            )  # fmt: skip
+        if self._failures >= defaults.STORE_LOST_AFTER_FAILURES:
+            for waiter in list(self._waiters):
+                self._give_up(waiter)
+        return backoff_delay(self._failures, defaults.STORE_RETRY_MAX_S)
+
+    def _note_reached(self) -> None:
+        if self._failures >= defaults.STORE_LOST_AFTER_FAILURES:
+            emit("budget", "store_regained", partition=self._partition.number)
+        self._failures = 0
+
+    def _prepaid_by_customer(self) -> dict[str, int]:
+        return {
+            customer: self._book.account_by_customer[customer].prepaid
+            for customer in self._customers
+        }
+
+    def _log_grants(self, records: list[KeyedRecord]) -> None:
+        emit(
+            "budget",
+            "granted",
+            partition=self._partition.number,
+            end=self._ledger.end,
+            prepaid=self._prepaid_by_customer(),
+            records={r.key: r.value.decode() for r in records},
+        )
+
+
+def _log_failure(failure, partition: Partition) -> None:
+    emit(
+        "budget", "failed", partition=partition.number,
+        reason=failure.getTraceback(),
+    )  # fmt: skip
--- a/chicorystack/gateway/process.py
+++ b/chicorystack/gateway/process.py
@@ -8,7 +8,7 @@
 from chicorystack import defaults
 from chicorystack.budget.boot_clock import BootClock
 from chicorystack.budget.grant_client import GrantClient
-from chicorystack.budget.grants import Holder
+from chicorystack.budget.grant_records import Holder
 from chicorystack.gateway.attempt import TargetDialect
 from chicorystack.gateway.caller_http import (
     CallerDialect,
--- a/tests/budget/grant_machine.py
+++ b/tests/budget/grant_machine.py
@@ -10,7 +10,7 @@
 from twisted.internet import defer, task
 
 from chicorystack.budget.grant_client import GrantClient
-from chicorystack.budget.grants import Holder, Instant
+from chicorystack.budget.grant_records import Holder, Instant
 from chicorystack.observe.invariants import violations_by_name
 from tests.support.fake_log import FakeLog
 
--- a/tests/budget/test_grant_machine.py
+++ b/tests/budget/test_grant_machine.py
@@ -11,15 +11,11 @@
 from twisted.internet import defer, task
 
 from chicorystack import defaults
-from chicorystack.budget import grants
-from chicorystack.budget.grant_client import GrantClient, GrantPartition
-from chicorystack.budget.grants import (
-    Account,
-    GrantBook,
-    Holder,
-    Instant,
-    Terms,
-)
+from chicorystack.budget import grant_records as grants
+from chicorystack.budget.grant_client import GrantClient
+from chicorystack.budget.grant_partition import GrantPartition
+from chicorystack.budget.grant_records import Holder, Instant, Terms
+from chicorystack.budget.grants import Account, GrantBook
 from chicorystack.observe.invariants import violations_by_name
 from chicorystack.store.keyed_log import KeyedRecord
 from tests.budget.grant_machine import GrantMachine
