Wait for a large answer over a slow link as long as its bytes come

Cause: the store's time-out covered whole answers. Ruled out: the store (others read at the same time), the configuration's size alone (one version passes in 0.1 s). Change: one time-out to the first byte, another between bytes. Test: tests/web/test_exchange.py, which the whole time-out fails.

--- a/chicorystack/defaults.py
+++ b/chicorystack/defaults.py
@@ -218,6 +218,8 @@
 # The time-out is the least one and so many usual answer times.
 STORE_CALL_TIMEOUT_LEAST_S = 0.15
 STORE_TIMEOUT_FACTOR = 5.0
+# Longest time without a byte in the middle of an answer.
+STORE_SILENCE_S = 0.6
 STORE_TIMEOUT_GAIN = 0.1
 STORE_RETRY_MAX_S = 0.5
 STORE_CONNECT_TIMEOUT_S = 0.7
--- a/chicorystack/platform/store.py
+++ b/chicorystack/platform/store.py
@@ -177,7 +177,13 @@
         asked_at = self._reactor.seconds()
         timeout_s = self._patience.timeout_s + wait_s
         try:
-            answer = await fetch(self._reactor, self._pool, request, timeout_s)
+            answer = await fetch(
+                self._reactor,
+                self._pool,
+                request,
+                timeout_s,
+                defaults.STORE_SILENCE_S,
+            )
         except ExchangeError as error:
             self._patience.note_failure()
             raise StoreError(f"{name}: {error}", error.sent) from error
--- a/chicorystack/web/exchange.py
+++ b/chicorystack/web/exchange.py
@@ -319,18 +319,26 @@
 
     Attributes:
         done: Fires with the WholeAnswer; fails with ExchangeError.
+        answering: Whether the answer has begun.
+        heard_at: Time on the clock when bytes came last, or of the start.
     """
 
-    def __init__(self):
+    def __init__(self, clock):
+        self._clock = clock
+        self.answering = False
+        self.heard_at = clock.seconds()
         self.done: defer.Deferred[WholeAnswer] = defer.Deferred()
         self._status = 0
         self._headers: Headers = []
         self._body: list[bytes] = []
 
     def head_received(self, status: int, headers: Headers) -> None:
+        self.answering = True
+        self.heard_at = self._clock.seconds()
         self._status, self._headers = status, headers
 
     def data_received(self, data: bytes) -> None:
+        self.heard_at = self._clock.seconds()
         self._body.append(data)
 
     def exchange_ended(self, failure: ExchangeError | None) -> None:
@@ -344,24 +352,41 @@
 
 
 async def fetch(
-    reactor, pool: ConnectionPool, request: HttpRequest, timeout_s: float
+    reactor,
+    pool: ConnectionPool,
+    request: HttpRequest,
+    first_byte_s: float,
+    silence_s: float,
 ) -> WholeAnswer:
     """Sends a request and returns the whole answer.
 
+    Args:
+        reactor: The reactor.
+        pool: Connections to the peer.
+        request: The request.
+        first_byte_s: Longest time to the first byte of the answer.
+        silence_s: Longest time without a byte from then on. A large answer
+            over a slow link takes as long as it takes.
+
     Raises:
-        ExchangeError: If none came in time.
+        ExchangeError: If the peer was silent for too long, or broke off.
     """
     connection = await pool.connection()
-    collector = _Collector()
+    collector = _Collector(reactor)
     connection.run(request, collector)
 
-    def give_up() -> None:
+    def look() -> None:
+        allowed_s = silence_s if collector.answering else first_byte_s
+        left_s = collector.heard_at + allowed_s - reactor.seconds()
+        if left_s > 0:
+            watch.append(reactor.callLater(left_s, look))
+            return
         connection.abort()
         collector.exchange_ended(ExchangeError("no answer in time", sent=True))
 
-    timer = reactor.callLater(timeout_s, give_up)
+    watch = [reactor.callLater(first_byte_s, look)]
     try:
         return await collector.done
     finally:
-        if timer.active():
-            timer.cancel()
+        if watch[-1].active():
+            watch[-1].cancel()
--- a/tests/web/test_exchange.py
+++ b/tests/web/test_exchange.py
@@ -1,11 +1,11 @@
 """Ends of answers: whole, cut, reset, early, or with bytes that follow."""
 
 import pytest
-from twisted.internet import error, task
+from twisted.internet import defer, error, task
 from twisted.internet.testing import StringTransport
 from twisted.python.failure import Failure
 
-from chicorystack.web.exchange import HttpConnection, HttpRequest
+from chicorystack.web.exchange import HttpConnection, HttpRequest, fetch
 
 GET = HttpRequest(b"GET", b"/x", [(b"host", b"h")])
 WHOLE = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
@@ -170,3 +170,48 @@
         .lower()
         .endswith(b"content-length: 4\r\n\r\nbody")
     )
+
+
+class OnePeer:
+    """A pool with one connection, whose peer the test plays."""
+
+    def __init__(self, peer):
+        self._peer = peer
+
+    async def connection(self):
+        return self._peer.connection
+
+
+def fetching(clock, peer):
+    failures = []
+    answers = []
+    running = defer.ensureDeferred(
+        fetch(clock, OnePeer(peer), GET, first_byte_s=0.2, silence_s=0.5)
+    )
+    running.addCallbacks(answers.append, failures.append)
+    return answers, failures
+
+
+def test_large_answer_over_a_slow_link_is_waited_for():
+    clock, peer = task.Clock(), Peer()
+    answers, failures = fetching(clock, peer)
+    peer.answer(b"HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\n")
+    for _ in range(10):
+        clock.pump([0.1] * 4)
+        peer.answer(b"x")
+    assert failures == []
+    assert answers[0].body == b"x" * 10
+
+
+def test_peer_that_falls_silent_is_given_up():
+    clock, peer = task.Clock(), Peer()
+    _, failures = fetching(clock, peer)
+    clock.pump([0.1] * 3)
+    assert failures
+    assert peer.transport.aborted
+    _, late = fetching(clock, peer := Peer())
+    peer.answer(b"HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\nx")
+    clock.pump([0.1] * 4)
+    assert late == []
+    clock.pump([0.1] * 2)
+    assert late
