--- a/chicorystack/defaults.py
+++ b/chicorystack/defaults.py
@@ -214,6 +214,7 @@
 
 # The platform's store.
 STORE_LOST_AFTER_FAILURES = 2
+FOLLOWER_RESTART_S = 1.0
 STORE_CALL_TIMEOUT_S = 0.6
 # The time-out is the least one and so many usual answer times.
 STORE_CALL_TIMEOUT_LEAST_S = 0.15
--- a/chicorystack/store/follower.py
+++ b/chicorystack/store/follower.py
@@ -75,7 +75,7 @@
     def start(self) -> None:
         """Begins to follow."""
         running = defer.ensureDeferred(self._run())
-        running.addErrback(_log_failure, self._partition)
+        running.addErrback(self._start_again)
 
     def stop(self) -> None:
         """Ends after the read under way."""
@@ -146,9 +146,13 @@
         self._failures = 0
         self.reached_at = now
 
-
-def _log_failure(failure, partition: Partition) -> None:
-    emit(
-        "store", "follower_failed", topic=partition.topic,
-        reason=failure.getTraceback(),
-    )  # fmt: skip
+    def _start_again(self, failure) -> None:
+        """Reads all anew after a fault of the program itself."""
+        emit(
+            "store",
+            "follower_failed",
+            topic=self._partition.topic,
+            reason=failure.getTraceback(),
+        )
+        self._end = None
+        self._clock.callLater(defaults.FOLLOWER_RESTART_S, self.start)
--- a/tests/store/test_follower.py
+++ b/tests/store/test_follower.py
@@ -18,6 +18,7 @@
         self.put(*records)
         self.value_by_key = {}
         self.updates = 0
+        self.fail_on = 0
         self.follower = Follower(
             self.clock, self.log, PARTITION, Pace(0.0, 0.2), self._take
         )
@@ -25,6 +26,8 @@
 
     def _take(self, update):
         self.updates += 1
+        if self.fail_on == self.updates:
+            raise ValueError("a fault of the program")
         if update.whole:
             self.value_by_key = {}
         for record in update.records:
@@ -79,3 +82,12 @@
     before = followed.log.calls
     followed.run(10.0)
     assert followed.log.calls - before <= 45
+
+
+def test_fault_of_the_program_does_not_end_the_following():
+    followed = Followed([("a", b"1")])
+    followed.run(0.1)
+    followed.fail_on = 2
+    followed.put(("a", b"2"))
+    followed.run(2.0)
+    assert followed.value_by_key == {"a": b"2"}
