Lend tokens between routers while the store is away

Change: a router that lacks tokens asks others, those first that may have most. What is lent counts as used by the lender within its own terms, so nothing is added to what the store has granted, and a death is counted as before. Loans have numbers and are given once. A router that stops while the store is away hands what is left to another one. The state machine plays both with lost, doubled and late messages; with loans that are not charged it finds an overspent budget.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -67,20 +67,28 @@
     proxy: int
 
 
-def free_port() -> int:
+def free_port(count: int = 1) -> int:
     """Returns a TCP port that nothing listens on and nobody was given.
 
     It lies below the ports of outgoing connections, which could otherwise
     take it before its process listens.
+
+    Args:
+        count: Ports in a row that are wanted; the first is returned.
     """
     while True:
-        port = random.SystemRandom().randrange(*LISTEN_PORTS)
-        with contextlib.suppress(OSError), socket.socket() as probe:
-            if port in given_ports:
-                continue
-            probe.bind((LOOPBACK, port))
-            given_ports.add(port)
-            return port
+        first = random.SystemRandom().randrange(*LISTEN_PORTS)
+        ports = range(first, first + count)
+        if given_ports.isdisjoint(ports) and all(map(_is_free, ports)):
+            given_ports.update(ports)
+            return first
+
+
+def _is_free(port: int) -> bool:
+    with contextlib.suppress(OSError), socket.socket() as probe:
+        probe.bind((LOOPBACK, port))
+        return True
+    return False
 
 
 def send(
--- a/bench/platform_fleet.py
+++ b/bench/platform_fleet.py
@@ -26,13 +26,22 @@
 POOR_BUDGET_TOKENS = 100
 STOP_TIMEOUT_S = 15.0
 
+# Metrics, and loans between routers.
+OWN_PORTS = 2
+
 
 class RouterPorts(NamedTuple):
-    """Ports of one router."""
+    """Ports of one router.
+
+    Attributes:
+        callers: For callers.
+        readiness: For the question whether it is ready.
+        own: First of `OWN_PORTS` in a row for its own use.
+    """
 
     callers: int
     readiness: int
-    metrics: int
+    own: int
 
 
 def route(name: str, service: str, kind: str, **more: object) -> dict:
@@ -145,7 +154,7 @@
 
     def start_router(self, name: str) -> None:
         """Starts a router; it may not be ready yet."""
-        ports = RouterPorts(free_port(), free_port(), free_port())
+        ports = RouterPorts(free_port(), free_port(), free_port(OWN_PORTS))
         self.ports_by_router[name] = ports
         settings = {
             "NodeName": name,
@@ -155,7 +164,7 @@
                 "Front": f"{LOOPBACK}:{ports.callers}",
                 "ReadyAddr": f"{LOOPBACK}:{ports.readiness}",
             },
-            "PortRange": [ports.metrics, ports.metrics],
+            "PortRange": [ports.own, ports.own + OWN_PORTS - 1],
             "Limits": {"MaxFds": 1024, "MemoryMb": 300},
             "Bounds": {"RetrySlack": 50, "GracePeriodS": 8},
             "Platform": {"Address": f"{LOOPBACK}:{self.store_port}"},
--- a/chicorystack/budget/grant_client.py
+++ b/chicorystack/budget/grant_client.py
@@ -12,12 +12,17 @@
     LeaseClock,
 )
 from chicorystack.budget.grants import GrantBook
+from chicorystack.budget.loans import Borrower, Lender, LoanPeers
 from chicorystack.store.keyed_log import KeyedLog, Partition
 from chicorystack.util import stable_hash
 
 
 class GrantClient:
-    """The budgets of one router process."""
+    """The budgets of one router process.
+
+    Attributes:
+        lender: Answers other routers that ask for tokens.
+    """
 
     def __init__(
         self,
@@ -27,12 +32,20 @@
         holder: Holder,
         routers: Callable[[], int],
         lease_clock: LeaseClock,
+        peers: LoanPeers,
     ):
         self._clock = clock
         self._book = GrantBook(holder, lease_clock)
+        self.lender = Lender(self._book)
+        self._borrower = Borrower(clock, self._book, holder, peers)
         self._partitions = [
             GrantPartition(
-                clock, log, Partition(topic, number), self._book, routers
+                clock,
+                log,
+                Partition(topic, number),
+                self._book,
+                self._borrower,
+                routers,
             )
             for number in range(defaults.GRANT_PARTITIONS)
         ]
@@ -84,9 +97,12 @@
         account.settle(reservation.tokens, min(spent, reservation.tokens))
 
     async def give_back(self) -> None:
-        """Returns what is not in use; errors are logged and end it."""
+        """Returns what is not in use, to other routers if the store is away."""
         self.stop()
         self._book.close()
+        if any(partition.store_lost for partition in self._partitions):
+            await self._borrower.hand_over()
+            return
         for partition in self._partitions:
             await partition.give_back()
 
--- a/chicorystack/budget/grant_partition.py
+++ b/chicorystack/budget/grant_partition.py
@@ -9,6 +9,7 @@
 from chicorystack import defaults
 from chicorystack.budget.grant_records import GrantLedger, GrantReservation
 from chicorystack.budget.grants import GrantBook
+from chicorystack.budget.loans import Borrower
 from chicorystack.errors import ChicoryError
 from chicorystack.observe.events import emit
 from chicorystack.store.keyed_log import (
@@ -71,16 +72,20 @@
         log: KeyedLog,
         partition: Partition,
         book: GrantBook,
+        borrower: Borrower,
         routers: Callable[[], int],
     ):
         self._clock = clock
         self._log = log
         self._partition = partition
         self._book = book
+        self._borrower = borrower
         self._routers = routers
         self._ledger = GrantLedger()
         self._customers: list[str] = []
         self._waiters: list[_Waiter] = []
+        # Customers whose waiting calls are helped by other routers just now.
+        self._borrowing: set[str] = set()
         self._busy = False
         self._again = False
         # Whether the partition may have grown since it was read.
@@ -91,6 +96,11 @@
         self._unanswered: _Append | None = None
         self._failures = 0
 
+    @property
+    def store_lost(self) -> bool:
+        """Whether the store has not answered for a while."""
+        return self._failures >= defaults.STORE_LOST_AFTER_FAILURES
+
     def set_customers(self, customers: list[str]) -> None:
         """Takes over which customers belong to the partition."""
         self._customers = customers
@@ -106,13 +116,13 @@
     ) -> GrantReservation:
         """Sets tokens aside; raises GrantError."""
         account = self._book.account_by_customer[customer]
-        if not self._waiters and account.reserve(tokens):
+        if not account.wanted and account.reserve(tokens):
             return GrantReservation(customer, tokens)
-        if self._failures >= defaults.STORE_LOST_AFTER_FAILURES:
+        if self.store_lost and not self._borrower.may_ask(customer):
             raise GrantError(
-                f"{customer} lacks tokens here and the store does not answer; "
-                f"{tokens} asked, {account.free} free of {account.granted} "
-                f"granted, {account.in_use} in use",
+                f"{customer} lacks tokens here, the store does not answer and "
+                f"no other router has any; {tokens} asked, {account.free} "
+                f"free of {account.granted} granted, {account.in_use} in use",
                 exhausted=False,
                 retry_after_s=account.wait_s(tokens),
             )
@@ -122,6 +132,8 @@
         timer = self._clock.callLater(
             max(0.0, give_up_at - self._clock.seconds()), self._give_up, waiter
         )
+        if self._failures:
+            self._borrow_for_waiters()
         self.review()
         try:
             await waiter.turn
@@ -258,19 +270,53 @@
                 self._forget(waiter)
                 waiter.turn.callback(None)
 
+    def _borrow_for_waiters(self) -> None:
+        """Asks other routers for what waiting calls lack."""
+        for customer in {waiter.customer for waiter in self._waiters}:
+            if customer in self._borrowing:
+                continue
+            self._borrowing.add(customer)
+            running = defer.ensureDeferred(self._borrow(customer))
+            running.addErrback(_log_failure, self._partition)
+
+    async def _borrow(self, customer: str) -> None:
+        """Refuses calls that neither the store nor other routers can help."""
+        try:
+            if self._borrower.may_ask(customer):
+                await self._borrower.borrow(customer, self._ledger)
+        finally:
+            self._borrowing.discard(customer)
+        self._serve_waiters()
+        for waiter in list(self._waiters):
+            if waiter.customer != customer:
+                continue
+            if self.store_lost:
+                self._give_up(waiter)
+            elif not self._failures:
+                self._refuse_short(waiter)
+
     def _refuse_hopeless(self) -> None:
-        """Refuses those whose tokens could not be had from a fresh ledger."""
+        """Deals with calls for which a fresh ledger has no tokens left."""
         for waiter in list(self._waiters):
-            account = self._book.account_by_customer[waiter.customer]
-            left = account.prepaid - self._ledger.spent(waiter.customer)
-            exhausted = waiter.tokens > left
-            error = GrantError(
-                f"{waiter.tokens} tokens are not to be had; at most "
-                f"{left} of {account.prepaid} are left",
-                exhausted,
-                defaults.GRANT_SHORT_RETRY_S,
-            )
-            self._fail(waiter, error)
+            if waiter.tokens > self._certainly_left(waiter.customer):
+                self._refuse_short(waiter)
+        self._borrow_for_waiters()
+
+    def _certainly_left(self, customer: str) -> int:
+        """Returns the most that may be left of a budget."""
+        account = self._book.account_by_customer[customer]
+        return account.prepaid - self._ledger.spent(customer)
+
+    def _refuse_short(self, waiter: _Waiter) -> None:
+        left = self._certainly_left(waiter.customer)
+        prepaid = self._book.account_by_customer[waiter.customer].prepaid
+        error = GrantError(
+            f"{waiter.tokens} tokens are not to be had; at most "
+            f"{left} of {prepaid} are left",
+            exhausted=waiter.tokens > left,
+            retry_after_s=defaults.GRANT_SHORT_RETRY_S,
+        )
+        self._fail(waiter, error)
 
     def _give_up(self, waiter: _Waiter) -> None:
         account = self._book.account_by_customer[waiter.customer]
@@ -299,13 +345,11 @@
                 "budget", "store_lost", partition=self._partition.number,
                 reason=str(error), waiting=len(self._waiters),
             )  # fmt: skip
-        if self._failures >= defaults.STORE_LOST_AFTER_FAILURES:
-            for waiter in list(self._waiters):
-                self._give_up(waiter)
+        self._borrow_for_waiters()
         return backoff_delay(self._failures, defaults.STORE_RETRY_MAX_S)
 
     def _note_reached(self) -> None:
-        if self._failures >= defaults.STORE_LOST_AFTER_FAILURES:
+        if self.store_lost:
             emit("budget", "store_regained", partition=self._partition.number)
         self._failures = 0
 
--- a/chicorystack/budget/grant_records.py
+++ b/chicorystack/budget/grant_records.py
@@ -44,7 +44,8 @@
 
     Attributes:
         granted: Tokens that it may use in all.
-        in_use: Tokens that it had used or set aside when it wrote this.
+        in_use: Tokens that it had used, set aside or lent when it wrote
+            this, without those that it had borrowed.
         burst: Tokens beyond that which it may use at once.
         pace: Tokens a second that it may use besides, after a delay.
         delay_s: Time after which these begin to come.
--- a/chicorystack/budget/grants.py
+++ b/chicorystack/budget/grants.py
@@ -10,17 +10,16 @@
 Terms grow with the time since they were written, up to the whole grant: a
 process that reaches the store renews them each second, and one that does not
 may use its grant bit by bit. A process that follows another one on the same VM
-can so tell how much its predecessor may have used at most, and takes back the
-rest. It compares the clock that counts sleep, and only within one boot of the
-VM; otherwise the whole grant counts as used.
+can so tell how much its predecessor may have used at most, and takes back the rest. It compares the clock that counts sleep, and
+only within one boot of the VM; otherwise the whole grant counts as used.
 """
 
-import math
 from collections.abc import Iterator
 
 import msgspec
 
 from chicorystack import defaults
+from chicorystack.budget.grant_account import Account
 from chicorystack.budget.grant_records import (
     GrantLedger,
     GrantRecord,
@@ -29,168 +28,30 @@
     Terms,
     record_key,
 )
-from chicorystack.observe.invariants import require
 from chicorystack.store.keyed_log import KeyedRecord
 
 _encoder = msgspec.json.Encoder()
 
 
-class Account:
-    """What this process does with one customer's tokens.
-
-    Attributes:
-        prepaid: Tokens that the customer may use in all.
-        terms: What this process may use, as seen in the log; None for
-            nothing.
-        reserved: Tokens set aside for calls under way.
-        spent: Tokens used by calls that have ended.
-        wanted: Tokens that waiting calls need.
-        rate: Tokens a second, a moving mean.
-    """
-
-    def __init__(self, prepaid: int, clock: LeaseClock):
-        self.prepaid = prepaid
-        self.terms: Terms | None = None
-        self.reserved = 0
-        self.spent = 0
-        self.wanted = 0
-        self.rate = 0.0
-        self._clock = clock
-        # Terms that may stand in the log before this process knows.
-        self._pending: Terms | None = None
-        self._suspended = False
-        self._taken = 0
-        self._usual_call = 0.0
-        self._observed_s = 0.0
-
-    @property
-    def in_use(self) -> int:
-        """Tokens that are used or set aside."""
-        return self.spent + self.reserved
-
-    @property
-    def granted(self) -> int:
-        """Tokens that this process may use in the end."""
-        return 0 if self.terms is None else self.terms.granted
-
-    @property
-    def free(self) -> int:
-        """Tokens that a new call may use now."""
-        if self.terms is None or self._suspended:
-            return 0
-        now = self._clock.instant()
-        limit = self.terms.limit(now)
-        if self._pending is not None:
-            limit = min(limit, self._pending.limit(now))
-        return limit - self.in_use
-
-    def wait_s(self, tokens: int) -> float:
-        """Returns when a call may have tokens without the store's help."""
-        lacking = tokens - self.free
-        if self.terms is None or not self.terms.pace:
-            return defaults.GRANT_OUTAGE_RETRY_S
-        if self.in_use + tokens > self.terms.granted:
-            return defaults.GRANT_OUTAGE_RETRY_S
-        return self.terms.delay_s + max(0, lacking) / self.terms.pace
-
-    def need(self, routers: int) -> int:
-        """Returns tokens to hold beyond those in use, to outlast an outage.
-
-        Before its calls have shown what a router needs, it is an even share.
-        """
-        expected = self.rate * defaults.GRANT_HORIZON_S
-        spread = math.sqrt(expected * self._usual_call)
-        shown = int(expected + spread * defaults.GRANT_SPREADS)
-        if self._observed_s < defaults.GRANT_OBSERVED_S:
-            return max(shown, self.prepaid // (2 * routers))
-        return shown
-
-    def reserve(self, tokens: int) -> bool:
-        """Sets tokens aside, where they are free."""
-        if tokens > self.free:
-            return False
-        self.reserved += tokens
-        gain = defaults.GRANT_USUAL_CALL_GAIN if self._usual_call else 1.0
-        self._usual_call += gain * (tokens - self._usual_call)
-        return True
-
-    def settle(self, reserved: int, spent: int) -> None:
-        """Ends a call that has used no more than was set aside."""
-        require(
-            "call_keeps_its_reservation",
-            0 <= spent <= reserved,
-            f"{spent} of {reserved} tokens",
-        )
-        self.reserved -= reserved
-        self.spent += spent
-        self._taken += spent
-
-    def note_interval(self, seconds: float) -> None:
-        """Follows the rate of use over an interval that has ended."""
-        now_rate = self._taken / seconds
-        gain = min(1.0, seconds / defaults.GRANT_RATE_WINDOW_S)
-        self.rate += gain * (now_rate - self.rate)
-        self._taken = 0
-        self._observed_s += seconds
-
-    def new_terms(self, granted: int) -> Terms:
-        """Returns terms that start now."""
-        ahead = max(0, granted - self.in_use)
-        burst = int(
-            self.rate * defaults.GRANT_BURST_S
-            + self._usual_call * defaults.GRANT_BURST_CALLS
-        )
-        burst = min(ahead, burst + self.wanted)
-        return Terms(
-            granted,
-            self.in_use,
-            burst,
-            (ahead - burst) / defaults.GRANT_PACE_S,
-            defaults.GRANT_PACE_DELAY_S,
-            self._clock.instant(),
-        )
-
-    def suspend(self) -> None:
-        """Lets no new call use tokens until the log has been read again."""
-        self._suspended = True
-
-    def note_pending(self, terms: Terms) -> None:
-        """Keeps to terms that are being appended, beside the present ones."""
-        self._pending = terms
-
-    def note_terms(self, terms: Terms) -> None:
-        """Takes over the terms that stand in the log."""
-        require(
-            "grant_covers_use",
-            self.in_use <= terms.granted,
-            f"{self.in_use} of {terms.granted} tokens",
-        )
-        self.terms = terms
-        self._pending = None
-
-    def resume(self) -> None:
-        """Uses the terms again, as the log has been read since."""
-        self._suspended = False
-
-
 class GrantBook:
     """Decides which terms this process writes, and keeps to them.
 
     Attributes:
         account_by_customer: This process's own accounts.
         superseded: Whether a later process of the same VM has written.
+        closing: Whether this process stops, and takes nothing more.
     """
 
     def __init__(self, holder: Holder, clock: LeaseClock):
         self._holder = holder
         self._clock = clock
-        self._closing = False
+        self.closing = False
         self.account_by_customer: dict[str, Account] = {}
         self.superseded = False
 
     def close(self) -> None:
         """Holds nothing beyond what is in use from now on."""
-        self._closing = True
+        self.closing = True
 
     def set_prepaid(self, prepaid_by_customer: dict[str, int]) -> None:
         """Takes over what customers have prepaid."""
@@ -245,10 +106,11 @@
         router = self._holder.router
         lost, lost_spent = self._lost(ledger.record(customer, router))
         room = account.prepaid - lost - ledger.committed(customer, router)
-        need = 0 if self._closing else account.need(routers)
+        need = 0 if self.closing else account.need(routers)
         ahead = _held_ahead(account, ledger, customer, router, need)
-        left = max(0, room - account.in_use)
-        granted = account.in_use + min(left, account.wanted + ahead)
+        left = max(0, room - account.charged)
+        beyond_loans = max(0, account.wanted + ahead - account.unused_loans)
+        granted = account.charged + min(left, beyond_loans)
         terms = account.new_terms(granted)
         account.resume()
         if not self._is_worth_writing(account, terms):
@@ -281,13 +143,13 @@
         present = account.terms
         if present is None:
             return terms.granted > 0
-        if self._closing:
+        if self.closing:
             return terms.granted < present.granted
         if account.wanted > account.free and terms.limit(
             terms.at
         ) > present.limit(terms.at):
             return True
-        if account.in_use != present.in_use:
+        if account.charged != present.in_use:
             return self._is_due(present, terms)
         surplus = present.granted - terms.granted
         return (
--- a/chicorystack/defaults.py
+++ b/chicorystack/defaults.py
@@ -267,6 +267,19 @@
 GRANT_OUTAGE_RETRY_S = 3.0
 # Partitions over which customers' grants are spread.
 GRANT_PARTITIONS = 2
+# Loans between routers.
+# Longest wait for one router, and for all that are asked.
+LOAN_TIMEOUT_S = 0.15
+LOAN_SEARCH_S = 0.3
+LOAN_LENDERS_MOST = 4
+# Own use that a loan should cover besides what is lacking.
+LOAN_AHEAD_S = 2.0
+# Time without another try after none had tokens.
+LOAN_PAUSE_S = 0.3
+# Time in which a router that did not answer is not asked again.
+LOAN_SILENT_S = 2.0
+# How often a router that stops sends its tokens to one that may have them.
+HAND_OVER_TRIES = 2
 
 # Placement at the gateway.
 # Time in which half of what a target told of its load is forgotten.
--- /dev/null
+++ b/chicorystack/gateway/loan_http.py
@@ -0,0 +1,130 @@
+"""Loans of tokens between routers: JSON over HTTP, both sides.
+
+`POST /v1/loans` takes a LoanRequest and answers with a LoanAnswer, `POST
+/v1/hand-overs` takes a HandOver and answers with a HandOverAnswer.
+"""
+
+from collections.abc import Callable
+from typing import Any, TypeVar
+
+import msgspec
+from twisted.web import http, resource, server
+
+from chicorystack import defaults
+from chicorystack.budget.loans import (
+    HandOver,
+    HandOverAnswer,
+    Lender,
+    LoanAnswer,
+    LoanError,
+    LoanRequest,
+)
+from chicorystack.observe.events import emit
+from chicorystack.web.exchange import (
+    Address,
+    ConnectionPool,
+    ExchangeError,
+    HttpRequest,
+    fetch,
+)
+
+LOANS_PATH = b"/v1/loans"
+HAND_OVERS_PATH = b"/v1/hand-overs"
+AnswerT = TypeVar("AnswerT")
+
+
+class _MessagePage(resource.Resource):
+    """Answers one kind of message."""
+
+    isLeaf = True
+
+    def __init__(self, message_type: type, answer: Callable[[Any], object]):
+        super().__init__()
+        self._decoder = msgspec.json.Decoder(message_type)
+        self._answer = answer
+
+    def render_POST(self, request: server.Request) -> bytes:
+        """Answers a message, or with 400 what cannot be read."""
+        try:
+            message = self._decoder.decode(request.content.read())
+        except msgspec.DecodeError as error:
+            emit("loans", "unreadable", reason=str(error))
+            request.setResponseCode(http.BAD_REQUEST)
+            return b""
+        request.setHeader(b"content-type", b"application/json")
+        return msgspec.json.encode(self._answer(message))
+
+
+class LoanPages(resource.Resource):
+    """What other routers may ask of this one."""
+
+    def __init__(self, lender: Lender):
+        super().__init__()
+        pages = resource.Resource()
+        self.putChild(b"v1", pages)
+        pages.putChild(b"loans", _MessagePage(LoanRequest, lender.lend))
+        pages.putChild(b"hand-overs", _MessagePage(HandOver, lender.take_over))
+
+
+class HttpLoanPeers:
+    """Asks other routers at their addresses; see LoanPeers."""
+
+    def __init__(
+        self, reactor, address_by_name: Callable[[], dict[str, Address]]
+    ):
+        self._reactor = reactor
+        self._address_by_name = address_by_name
+        self._pool_by_address: dict[Address, ConnectionPool] = {}
+
+    def names(self) -> list[str]:
+        """See LoanPeers."""
+        return list(self._address_by_name())
+
+    async def ask(self, router: str, request: LoanRequest) -> LoanAnswer:
+        """See LoanPeers."""
+        return await self._send(router, LOANS_PATH, request, LoanAnswer)
+
+    async def hand_over(self, router: str, message: HandOver) -> HandOverAnswer:
+        """See LoanPeers."""
+        return await self._send(
+            router, HAND_OVERS_PATH, message, HandOverAnswer
+        )
+
+    async def _send(
+        self,
+        router: str,
+        path: bytes,
+        message: object,
+        answer_type: type[AnswerT],
+    ) -> AnswerT:
+        address = self._address_by_name().get(router)
+        if address is None:
+            raise LoanError(f"{router} has left", maybe_done=False)
+        request = HttpRequest(
+            b"POST",
+            path,
+            [(b"host", str(address).encode())],
+            msgspec.json.encode(message),
+        )
+        try:
+            answer = await fetch(
+                self._reactor,
+                self._pool(address),
+                request,
+                defaults.LOAN_TIMEOUT_S,
+                defaults.LOAN_TIMEOUT_S,
+            )
+            return msgspec.json.decode(answer.body, type=answer_type)
+        except ExchangeError as error:
+            raise LoanError(f"{router}: {error}", error.sent) from error
+        except msgspec.DecodeError as error:
+            raise LoanError(f"{router}: {error}") from error
+
+    def _pool(self, address: Address) -> ConnectionPool:
+        pool = self._pool_by_address.get(address)
+        if pool is None:
+            pool = ConnectionPool(
+                self._reactor, address, defaults.LOAN_TIMEOUT_S
+            )
+            self._pool_by_address[address] = pool
+        return pool
--- a/chicorystack/gateway/peers.py
+++ b/chicorystack/gateway/peers.py
@@ -1,4 +1,4 @@
-"""How many routers there are, from a record that each keeps in the store."""
+"""Which routers there are, from a record that each keeps in the store."""
 
 from twisted.internet import defer, task
 
@@ -12,22 +12,28 @@
     StoreError,
 )
 from chicorystack.util import backoff_delay
-
-PRESENT = b"1"
+from chicorystack.web.exchange import Address
 
 
 class RouterDirectory:
-    """Counts routers; one that died without a word still counts.
+    """Knows routers and where they answer others.
+
+    One that died without a word still counts: counting too many only makes
+    shares of budgets and retries smaller.
 
-    Counting too many only makes shares of budgets and retries smaller.
+    Attributes:
+        address_by_name: The other routers.
     """
 
-    def __init__(self, clock, log: KeyedLog, topic: str, name: str):
+    def __init__(
+        self, clock, log: KeyedLog, topic: str, name: str, address: Address
+    ):
         self._clock = clock
         self._log = log
         self._partition = Partition(topic)
         self._name = name
-        self._names = {name}
+        self._address = address
+        self.address_by_name: dict[str, Address] = {}
         self._follower = Follower(
             clock,
             log,
@@ -42,9 +48,10 @@
 
     def count(self) -> int:
         """Returns the number of routers, this one included."""
+        known = 1 + len(self.address_by_name)
         if not self._follower.loaded:
-            return max(defaults.ROUTERS_ASSUMED, len(self._names))
-        return len(self._names)
+            return max(defaults.ROUTERS_ASSUMED, known)
+        return known
 
     async def leave(self) -> None:
         """Takes this router's record back."""
@@ -57,7 +64,7 @@
             emit("routers", "not_left", reason=str(error))
 
     async def _enter(self) -> None:
-        record = KeyedRecord(self._name, PRESENT)
+        record = KeyedRecord(self._name, str(self._address).encode())
         failures = 0
         while True:
             try:
@@ -73,10 +80,19 @@
 
     def _update(self, update: Update) -> None:
         if update.whole:
-            self._names = {self._name}
+            self.address_by_name = {}
         for record in update.records:
-            if record.value:
-                self._names.add(record.key)
-            elif record.key != self._name:
-                self._names.discard(record.key)
-        emit("routers", "counted", routers=sorted(self._names))
+            if record.key != self._name:
+                self._note(record)
+        emit("routers", "counted", others=self.address_by_name)
+
+    def _note(self, record: KeyedRecord) -> None:
+        if not record.value:
+            self.address_by_name.pop(record.key, None)
+            return
+        try:
+            address = Address.parse(record.value.decode())
+        except ValueError as error:
+            emit("routers", "unreadable", router=record.key, reason=str(error))
+            return
+        self.address_by_name[record.key] = address
--- a/chicorystack/gateway/process.py
+++ b/chicorystack/gateway/process.py
@@ -17,6 +17,7 @@
 )
 from chicorystack.gateway.dispatcher import Dispatcher
 from chicorystack.gateway.loads import TargetLoads
+from chicorystack.gateway.loan_http import HttpLoanPeers, LoanPages
 from chicorystack.gateway.model import GatewayConfig
 from chicorystack.gateway.peers import RouterDirectory
 from chicorystack.gateway.placement import (
@@ -97,7 +98,7 @@
             self._take_targets,
         )
         self._routers = RouterDirectory(
-            reactor, log, ROUTERS_TOPIC, settings.name
+            reactor, log, ROUTERS_TOPIC, settings.name, settings.peers
         )
         self._grants = GrantClient(
             reactor,
@@ -106,6 +107,7 @@
             Holder(settings.name, new_id()),
             self._routers.count,
             BootClock(),
+            HttpLoanPeers(reactor, lambda: self._routers.address_by_name),
         )
         self._registry = TargetRegistry(reactor, self._store_contact)
         loads = TargetLoads(reactor)
@@ -136,6 +138,9 @@
             self._reactor, ReadinessPage(self._is_ready), settings.readiness
         )
         listen_quietly(self._reactor, MetricsPage(), settings.metrics)
+        listen_quietly(
+            self._reactor, LoanPages(self._grants.lender), settings.peers
+        )
         self._config_follower.start()
         self._targets_follower.start()
         self._routers.start()
--- a/chicorystack/gateway/settings.py
+++ b/chicorystack/gateway/settings.py
@@ -14,6 +14,7 @@
         callers: Where it listens for callers.
         readiness: Where it says whether it is ready.
         metrics: Where it shows its metrics.
+        peers: Where it answers other routers.
         max_descriptors: File descriptors that it may open.
         retry_ratio: Further attempts that all routers may make for each call
             of a service.
@@ -27,6 +28,7 @@
     callers: Address
     readiness: Address
     metrics: Address
+    peers: Address
     max_descriptors: int
     retry_ratio: float
     retry_window_s: float
--- a/chicorystack/platform/settings.py
+++ b/chicorystack/platform/settings.py
@@ -10,6 +10,8 @@
 from chicorystack.web.exchange import Address
 
 SETTINGS_VARIABLE = "CHICORYSTACK_SETTINGS"
+# Place in the range of own ports; the first one shows metrics.
+PEERS_PORT_OFFSET = 1
 
 
 class SettingsError(UserError):
@@ -134,6 +136,7 @@
         callers=Address.parse(file.Listen.Front),
         readiness=Address.parse(file.Listen.ReadyAddr),
         metrics=Address(file.NodeIp, file.PortRange[0]),
+        peers=Address(file.NodeIp, file.PortRange[0] + PEERS_PORT_OFFSET),
         max_descriptors=file.Limits.MaxFds,
         retry_ratio=file.Bounds.RetryBudgetRatio,
         retry_window_s=file.Bounds.RetryWindowS,
--- a/tests/budget/grant_machine.py
+++ b/tests/budget/grant_machine.py
@@ -1,5 +1,7 @@
 """Random lives of routers that share prepaid budgets, on a driven clock."""
 
+from collections import deque
+
 from hypothesis import strategies as st
 from hypothesis.stateful import (
     RuleBasedStateMachine,
@@ -11,6 +13,7 @@
 
 from chicorystack.budget.grant_client import GrantClient
 from chicorystack.budget.grant_records import Holder, Instant
+from chicorystack.budget.loans import LoanError
 from chicorystack.observe.invariants import violations_by_name
 from tests.support.fake_log import FakeLog
 
@@ -18,6 +21,7 @@
 ROUTERS = ("router-1", "router-2", "router-3")
 PREPAID = 20_000
 FAULTS = st.sampled_from(["refused", "lost", "never", "late"])
+LOAN_FAULTS = st.sampled_from(["no_request", "no_answer", "twice", "slow"])
 
 
 class VmClock:
@@ -35,6 +39,43 @@
         return Instant(self.boot, self._clock.seconds())
 
 
+class Peers:
+    """Carries loans between the machine's processes, with faults."""
+
+    def __init__(self, machine, router):
+        self._machine = machine
+        self._router = router
+
+    def names(self):
+        return [name for name in ROUTERS if name != self._router]
+
+    async def ask(self, router, request):
+        return await self._send(router, lambda lender: lender.lend(request))
+
+    async def hand_over(self, router, message):
+        return await self._send(
+            router, lambda lender: lender.take_over(message)
+        )
+
+    async def _send(self, router, deliver):
+        faults = self._machine.loan_faults
+        fault = faults.popleft() if faults else None
+        await self._wait(0.5 if fault == "slow" else 0.002)
+        if fault == "no_request":
+            raise LoanError("no request", maybe_done=False)
+        lender = self._machine.process_by_router[router].client.lender
+        answer = deliver(lender)
+        if fault == "twice":
+            answer = deliver(lender)
+        if fault == "no_answer":
+            raise LoanError("no answer")
+        await self._wait(0.002)
+        return answer
+
+    def _wait(self, seconds):
+        return task.deferLater(self._machine.clock, seconds)
+
+
 class Process:
     """One router process and the calls that it has admitted."""
 
@@ -49,6 +90,7 @@
             Holder(router, f"{router}#{number}"),
             lambda: len(ROUTERS),
             machine.vm_clocks[router],
+            Peers(machine, router),
         )
         self.client.set_prepaid(dict(machine.prepaid))
         self.client.start()
@@ -87,6 +129,7 @@
         self.violations = violations_by_name.total()
         self.clock = task.Clock()
         self.log = FakeLog(self.clock)
+        self.loan_faults = deque()
         self.vm_clocks = {name: VmClock(self.clock) for name in ROUTERS}
         self.prepaid = dict.fromkeys(CUSTOMERS, PREPAID)
         self.number = 0
@@ -128,6 +171,10 @@
     def outage(self, down):
         self.log.down = down
 
+    @rule(faults=st.lists(LOAN_FAULTS, min_size=1, max_size=4))
+    def lose_loans(self, faults):
+        self.loan_faults.extend(faults)
+
     @rule()
     def forget_history(self):
         self.log.forget_history()
@@ -148,6 +195,16 @@
             self.vm_clocks[router].reboot()
         self._start(router)
 
+    @rule(router=st.sampled_from(ROUTERS))
+    def stop(self, router):
+        """Ends a process as planned, with its calls finished."""
+        process = self.process_by_router[router]
+        while process.calls:
+            process.finish(0.5)
+        defer.ensureDeferred(process.client.give_back())
+        self.clock.pump([0.05] * 40)
+        self.kill(router, power=False)
+
     @invariant()
     def no_violation_inside(self):
         if hasattr(self, "violations"):
--- a/tests/budget/test_grant_machine.py
+++ b/tests/budget/test_grant_machine.py
@@ -96,6 +96,13 @@
     assert terms.limit(Instant(5.0, 9.0)) == 1_000
 
 
+class Alone:
+    """A router that knows no other one."""
+
+    def names(self):
+        return []
+
+
 class FixedClock:
     """A VM's clock that a test sets."""
 
@@ -113,7 +120,8 @@
     ledger = grants.GrantLedger()
     key = grants.record_key("alpha", "front-1")
     ledger.load([KeyedRecord(key, msgspec.json.encode(record), 0)], 1)
-    book = GrantBook(Holder("front-1", "new"), FixedClock(boot, 10.5))
+    vm_clock = FixedClock(boot, 10.5)
+    book = GrantBook(Holder("front-1", "new"), vm_clock)
     book.set_prepaid({"alpha": 10_000})
     (written,) = book.records(ledger, ["alpha"], 1)
     decoded = msgspec.json.decode(written.value, type=grants.GrantRecord)
@@ -127,8 +135,9 @@
     log = FakeLog(clock)
     vm_clock = FixedClock(1.0, 0.0)
     client = GrantClient(
-        clock, log, "keyed.grants", Holder("front-1", "p"), lambda: 1, vm_clock
-    )
+        clock, log, "keyed.grants", Holder("front-1", "p"), lambda: 1,
+        vm_clock, Alone(),
+    )  # fmt: skip
     client.set_prepaid({"alpha": 100_000})
     client.start()
 
@@ -165,6 +174,7 @@
         Holder("front-1", "p"),
         lambda: 1,
         FixedClock(1.0, 0.0),
+        Alone(),
     )
     client.set_prepaid({"alpha": 100_000})
     client.start()
--- /dev/null
+++ b/tests/budget/test_loans.py
@@ -0,0 +1,251 @@
+"""Routers help each other with tokens while the store is away, or is bare."""
+
+import pytest
+from hypothesis.stateful import run_state_machine_as_test
+from twisted.internet import defer, task
+
+from chicorystack import defaults
+from chicorystack.budget.grant_account import Account
+from chicorystack.budget.grant_client import GrantClient
+from chicorystack.budget.grant_partition import GrantError
+from chicorystack.budget.grant_records import Holder, Instant
+from chicorystack.budget.loans import HandOver, LoanError, LoanRequest
+from tests.budget.grant_machine import GrantMachine
+from tests.budget.test_grant_machine import SEEK
+from tests.support.fake_log import FakeLog
+
+PREPAID = 100_000
+
+
+class Clock:
+    """A VM's clock that follows the test's."""
+
+    def __init__(self, clock):
+        self._clock = clock
+
+    def instant(self):
+        return Instant(1.0, self._clock.seconds())
+
+
+class Routers:
+    """Routers that share a log and reach each other.
+
+    Attributes:
+        asked: Requests for loans, in order.
+        silent: Names of routers that do not answer each other.
+    """
+
+    def __init__(self, *names):
+        self.clock = task.Clock()
+        self.log = FakeLog(self.clock)
+        self.asked = []
+        self.silent = set()
+        self.client_by_name = {}
+        for name in names:
+            client = GrantClient(
+                self.clock, self.log, "keyed.grants", Holder(name, f"{name}#1"),
+                lambda: len(names), Clock(self.clock), Peers(self, name),
+            )  # fmt: skip
+            client.set_prepaid({"alpha": PREPAID})
+            client.start()
+            self.client_by_name[name] = client
+
+    def pump(self, seconds):
+        self.clock.pump([0.01] * round(seconds / 0.01))
+
+    def call(self, name, tokens, spent=None):
+        """Returns the seconds that a call waited for tokens, or the error."""
+        begun_at = self.clock.seconds()
+        client = self.client_by_name[name]
+        ended = []
+        asking = defer.ensureDeferred(
+            client.reserve("alpha", tokens, begun_at + 0.6)
+        )
+        asking.addBoth(
+            lambda found: ended.append((found, self.clock.seconds()))
+        )
+        while not ended:
+            self.clock.advance(0.002)
+        found, ended_at = ended[0]
+        if isinstance(found, tuple):
+            client.settle(found, tokens if spent is None else spent)
+            return ended_at - begun_at
+        found.trap(GrantError)
+        return found.value
+
+
+class Peers:
+    """The other routers of a test."""
+
+    def __init__(self, routers, own_name):
+        self._routers = routers
+        self._own_name = own_name
+
+    def names(self):
+        return [n for n in self._routers.client_by_name if n != self._own_name]
+
+    async def ask(self, router, request):
+        self._routers.asked.append((router, request))
+        await task.deferLater(self._routers.clock, 0.002)
+        if router in self._routers.silent:
+            raise LoanError("silent")
+        return self._routers.client_by_name[router].lender.lend(request)
+
+    async def hand_over(self, router, message):
+        await task.deferLater(self._routers.clock, 0.002)
+        if router in self._routers.silent:
+            raise LoanError("silent")
+        return self._routers.client_by_name[router].lender.take_over(message)
+
+
+def routers_in_an_outage():
+    """Two routers of unequal use; the store has just gone."""
+    routers = Routers("busy", "quiet")
+    for _ in range(30):
+        routers.call("busy", 1_000)
+        routers.call("quiet", 200)
+        routers.pump(0.3)
+    routers.log.down = True
+    routers.pump(8.0)
+    return routers
+
+
+def test_loan_serves_a_call_while_the_store_is_away():
+    routers = routers_in_an_outage()
+    quiet = routers.client_by_name["quiet"]._book.account_by_customer["alpha"]
+    needed = quiet.free + 1_000
+    waited_s = routers.call("quiet", needed)
+    assert waited_s < 0.1
+    assert routers.asked[-1][0] == "busy"
+
+
+def test_call_is_refused_at_once_where_no_router_has_tokens():
+    routers = routers_in_an_outage()
+    assert isinstance(routers.call("quiet", PREPAID), GrantError)
+    asked = len(routers.asked)
+    begun_at = routers.clock.seconds()
+    assert isinstance(routers.call("quiet", PREPAID), GrantError)
+    assert routers.clock.seconds() - begun_at < 0.01
+    assert len(routers.asked) == asked
+    routers.pump(defaults.LOAN_PAUSE_S)
+    routers.call("quiet", PREPAID)
+    assert len(routers.asked) > asked
+
+
+def test_silent_router_is_left_alone_for_a_while():
+    routers = routers_in_an_outage()
+    routers.silent.add("busy")
+    routers.call("quiet", PREPAID)
+    routers.pump(defaults.LOAN_PAUSE_S)
+    asked = len(routers.asked)
+    routers.call("quiet", PREPAID)
+    assert len(routers.asked) == asked
+    routers.pump(defaults.LOAN_SILENT_S)
+    routers.call("quiet", PREPAID)
+    assert len(routers.asked) == asked + 1
+
+
+def test_tokens_that_others_hold_are_found_at_the_end_of_a_budget():
+    """All is granted; the store answers and has nothing more to give."""
+    routers = Routers("busy", "quiet")
+    for _ in range(10):
+        routers.call("busy", 1_000)
+        routers.pump(0.3)
+    busy = routers.client_by_name["busy"]._book.account_by_customer["alpha"]
+    not_granted = PREPAID - busy.granted
+    lent = busy.free
+    assert lent > 1_000
+    assert isinstance(routers.call("quiet", not_granted + lent - 100), float)
+    assert busy.lent > 0
+    assert isinstance(routers.call("quiet", lent), GrantError)
+
+
+def loan_request(number, needed=500, process="a#1"):
+    return LoanRequest("a", process, "alpha", number, needed, needed)
+
+
+def test_loan_is_given_once_for_each_number():
+    routers = routers_in_an_outage()
+    client = routers.client_by_name["busy"]
+    account = client._book.account_by_customer["alpha"]
+    before = account.free
+    first = client.lender.lend(loan_request(0))
+    assert client.lender.lend(loan_request(0)) == first
+    assert before - account.free == first.tokens == 500
+    client.lender.lend(loan_request(1))
+    # A copy that comes late gives nothing.
+    assert client.lender.lend(loan_request(0)).tokens == 0
+    assert before - account.free == 1_000
+    # Another process counts anew.
+    assert client.lender.lend(loan_request(0, process="a#2")).tokens == 500
+
+
+def test_router_keeps_what_its_own_calls_wait_for():
+    routers = routers_in_an_outage()
+    client = routers.client_by_name["busy"]
+    account = client._book.account_by_customer["alpha"]
+    account.wanted = account.free - 100
+    assert client.lender.lend(loan_request(0)).tokens == 100
+
+
+def test_superseded_router_lends_nothing():
+    routers = routers_in_an_outage()
+    client = routers.client_by_name["busy"]
+    client._book.superseded = True
+    assert client.lender.lend(loan_request(0)).tokens == 0
+
+
+def stop(routers, name):
+    defer.ensureDeferred(routers.client_by_name[name].give_back())
+    routers.pump(1.0)
+
+
+def account_of(routers, name):
+    return routers.client_by_name[name]._book.account_by_customer["alpha"]
+
+
+def test_router_that_stops_in_an_outage_hands_its_tokens_over():
+    routers = routers_in_an_outage()
+    before = account_of(routers, "busy").free
+    handed = account_of(routers, "quiet").free
+    assert handed > 1_000
+    stop(routers, "quiet")
+    assert account_of(routers, "quiet").free == 0
+    assert account_of(routers, "busy").free == before + handed
+
+
+def test_router_that_stops_itself_takes_nothing():
+    routers = routers_in_an_outage()
+    stop(routers, "busy")
+    before = account_of(routers, "busy").free
+    stop(routers, "quiet")
+    assert account_of(routers, "busy").free == before
+
+
+def test_tokens_are_taken_over_once():
+    routers = routers_in_an_outage()
+    lender = routers.client_by_name["busy"].lender
+    before = account_of(routers, "busy").free
+    message = HandOver("quiet", "quiet#1", {"alpha": 700, "unknown": 5})
+    for _ in range(2):
+        assert lender.take_over(message).taken
+    assert account_of(routers, "busy").free == before + 700
+
+
+def test_router_in_touch_gives_back_to_the_store():
+    routers = routers_in_an_outage()
+    routers.log.down = False
+    routers.pump(3.0)
+    account = account_of(routers, "quiet")
+    stop(routers, "quiet")
+    assert account.lent == 0
+    assert account.granted == account.charged
+
+
+def test_budget_breaks_where_loans_are_not_charged(monkeypatch):
+    def lend_for_nothing(self, needed, wished):
+        return max(0, min(self.free, needed))
+
+    monkeypatch.setattr(Account, "lend", lend_for_nothing)
+    with pytest.raises(AssertionError, match=" of "):
+        run_state_machine_as_test(GrantMachine, settings=SEEK)
--- a/tests/gateway/test_retry_share.py
+++ b/tests/gateway/test_retry_share.py
@@ -10,7 +10,7 @@
 
 ANY = Address("127.0.0.1", 1)
 SETTINGS = GatewaySettings(
-    "n", "z", ANY, ANY, ANY, 100, retry_ratio=0.2, retry_window_s=10.0,
+    "n", "z", ANY, ANY, ANY, ANY, 100, retry_ratio=0.2, retry_window_s=10.0,
     retry_slack=52.0, stop_within_s=8.0,
 )  # fmt: skip
 
