Count a predecessor's tokens until this process started, not until it reads

Cause: a process that is killed early in an outage is followed by one that reaches the store only after it. Ruled out: that the predecessor could have used them; it was dead when its successor started. Change: the terms are valued at the own start. The test fails without it (1,000 of 1,000 tokens lost instead of 300). In an outage that lasts longer than the growth of a grant it helps only as far as the restart is short: the growth is next.

--- a/chicorystack/budget/grants.py
+++ b/chicorystack/budget/grants.py
@@ -10,7 +10,8 @@
 Terms grow with the time since they were written, up to the whole grant: a
 process that reaches the store renews them each second, and one that does not
 may use its grant bit by bit. A process that follows another one on the same VM
-can so tell how much its predecessor may have used at most, and takes back the rest. It compares the clock that counts sleep, and
+can so tell how much its predecessor may have used at most until it started
+itself, and takes back the rest. It compares the clock that counts sleep, and
 only within one boot of the VM; otherwise the whole grant counts as used.
 """
 
@@ -45,6 +46,8 @@
     def __init__(self, holder: Holder, clock: LeaseClock):
         self._holder = holder
         self._clock = clock
+        # Earlier processes of this VM have used nothing since then.
+        self._started_at = clock.instant()
         self.closing = False
         self.account_by_customer: dict[str, Account] = {}
         self.superseded = False
@@ -134,7 +137,7 @@
             return 0, 0
         lost, spent = earlier.get("lost", 0), earlier.get("lost_spent", 0)
         if earlier["process"] != self._holder.process:
-            lost += earlier["terms"].limit(self._clock.instant())
+            lost += earlier["terms"].limit(self._started_at)
             spent += earlier["spent"]
         return lost, spent
 
--- a/tests/budget/test_grant_machine.py
+++ b/tests/budget/test_grant_machine.py
@@ -123,6 +123,9 @@
     vm_clock = FixedClock(boot, 10.5)
     book = GrantBook(Holder("front-1", "new"), vm_clock)
     book.set_prepaid({"alpha": 10_000})
+    # The predecessor used nothing after this start, however long it takes to
+    # reach the store.
+    vm_clock.now = Instant(boot, 30.0)
     (written,) = book.records(ledger, ["alpha"], 1)
     decoded = msgspec.json.decode(written.value, type=grants.GrantRecord)
     assert (decoded["lost"], decoded["lost_spent"]) == (lost, 80)
