Let grants grow over 8 s, and hold less before calls have shown the need

Cause: a process that dies in an outage, or just after one, costs its customers what its terms allowed until the next process started. Change: burst 0.5 s, then evenly over 8 s, which is what an outage lasts; a third of a budget is held at the start instead of a half.

--- a/chicorystack/budget/grant_account.py
+++ b/chicorystack/budget/grant_account.py
@@ -101,7 +101,8 @@
         spread = math.sqrt(expected * self._usual_call)
         shown = int(expected + spread * defaults.GRANT_SPREADS)
         if self._observed_s < defaults.GRANT_OBSERVED_S:
-            return max(shown, self.prepaid // (2 * routers))
+            share = self.prepaid * defaults.GRANT_UNOBSERVED_PART / routers
+            return max(shown, int(share))
         return shown
 
     def reserve(self, tokens: int) -> bool:
--- a/chicorystack/defaults.py
+++ b/chicorystack/defaults.py
@@ -237,18 +237,20 @@
 GRANT_USUAL_CALL_GAIN = 0.1
 # Part of a grant that may be used at once: what is used in a time, and some
 # calls of usual size.
-GRANT_BURST_S = 1.5
+GRANT_BURST_S = 0.5
 GRANT_BURST_CALLS = 2.0
 # The rest may be used evenly over a time that begins after a delay.
-GRANT_PACE_DELAY_S = 1.5
-GRANT_PACE_S = 3.0
+GRANT_PACE_DELAY_S = 0.5
+GRANT_PACE_S = 8.0
 # How old terms may be before they are renewed.
 GRANT_RENEW_S = 0.9
 # Two boots of a VM that began within this time are taken for one.
 SAME_BOOT_S = 0.05
 GRANT_RATE_WINDOW_S = 4.0
-# Traffic after which a router goes by its own calls alone.
+# Traffic after which a router goes by its own calls alone; before, routers
+# together would like to hold a part of each budget.
 GRANT_OBSERVED_S = 8.0
+GRANT_UNOBSERVED_PART = 1 / 3
 # Parts of what is left of a budget that routers hold together unused: most
 # while much of the budget is left, least when little is.
 GRANT_HELD_MOST = 0.6
