Refuse requests that crash targets, at all routers of the platform

Ruled out: taking each broken connection for a death (targets also lose answers and live); such contents would be refused without fault. Change: a target that refuses a connection just after runs there broke off has died. The contents of these runs get a strike; a content that ends a run is cleared. Strikes are kept by the table of the own interface and written to the store for the other routers; at three the content is refused with when to come back. A test on stand-ins with five engines: two requests kill four; without the check the next one reaches the fifth.

--- a/bench/platform_fleet.py
+++ b/bench/platform_fleet.py
@@ -244,6 +244,10 @@
         lines = [line for line in text.splitlines() if line.startswith("{")]
         return [json.loads(line) for line in lines]
 
+    def is_running(self, name: str) -> bool:
+        """Tells whether a process runs."""
+        return self.process_by_name[name].poll() is None
+
     def signal(self, name: str, number: int) -> None:
         """Signals a process."""
         self.process_by_name[name].send_signal(number)
--- a/chicorystack/defaults.py
+++ b/chicorystack/defaults.py
@@ -300,6 +300,13 @@
 SILENCE_OBJECTIVES = 2.5
 SILENCE_GAPS = 4.0
 
+# Requests that crash targets.
+# Time in which a target must be found dead after a connection to it broke.
+CRASH_CONFIRM_S = 1.0
+# Time after which the router looks whether it still takes connections.
+CRASH_PROBE_DELAY_S = 0.05
+STRIKES_READ_PAUSE_S = 1.5
+
 # Calls at the gateway.
 # Time that an answer needs on its way back to the caller.
 CALLER_MARGIN_S = 0.02
--- a/chicorystack/gateway/call_run.py
+++ b/chicorystack/gateway/call_run.py
@@ -118,7 +118,7 @@
             self._pool.note_ended(target)
             self._attempt = None
         self._count(result)
-        self._pool.note_result(target, result)
+        self._pool.note_result(self._call, target, result)
         self._story.note_attempt(target, load, result, begun_at)
         return result
 
--- a/chicorystack/gateway/dispatcher.py
+++ b/chicorystack/gateway/dispatcher.py
@@ -9,6 +9,7 @@
 from chicorystack.budget.grant_client import GrantClient
 from chicorystack.budget.grant_partition import GrantError
 from chicorystack.budget.grant_records import GrantReservation
+from chicorystack.errors import ApiError
 from chicorystack.gateway.admission import Admission, RefusedError, refuse
 from chicorystack.gateway.attempt import TargetDialect
 from chicorystack.gateway.call_run import CallRun
@@ -18,6 +19,7 @@
 from chicorystack.gateway.retry_share import RetryShare
 from chicorystack.gateway.target_pool import TargetPool
 from chicorystack.observe.events import emit
+from chicorystack.quarantine.strikes import StrikeTable
 
 
 class Dispatcher:
@@ -35,6 +37,7 @@
         pool: TargetPool,
         grants: GrantClient,
         retries: RetryShare,
+        strikes: StrikeTable,
     ):
         self._clock = clock
         self._config = config
@@ -42,6 +45,7 @@
         self._pool = pool
         self._grants = grants
         self._retries = retries
+        self._strikes = strikes
         self._admission = Admission(clock, config)
         self.open_requests = 0
 
@@ -62,6 +66,7 @@
     async def _serve(self, request: CallerRequest, reply: CallerReply) -> None:
         try:
             call = self._admission.admit(request)
+            self._check_strikes(call)
             self._retries.note_call(call.service)
             reservation = await self._reserve(call, reply)
         except RefusedError as error:
@@ -80,6 +85,14 @@
                 self._grants.settle(reservation, spent)
         run.tell(spent)
 
+    def _check_strikes(self, call: Call) -> None:
+        """Raises RefusedError for a content that crashes targets."""
+        try:
+            self._strikes.check(call.content)
+        except ApiError as error:
+            retry_s = error.retry_after_ms / 1000
+            raise refuse(503, error.code, str(error), retry_s) from error
+
     async def _reserve(
         self, call: Call, reply: CallerReply
     ) -> GrantReservation | None:
--- a/chicorystack/gateway/process.py
+++ b/chicorystack/gateway/process.py
@@ -15,6 +15,7 @@
     GatewaySite,
     listen_for_callers,
 )
+from chicorystack.gateway.crashes import CrashWatch, StrikeShare
 from chicorystack.gateway.dispatcher import Dispatcher
 from chicorystack.gateway.loads import TargetLoads
 from chicorystack.gateway.loan_http import HttpLoanPeers, LoanPages
@@ -39,12 +40,14 @@
     TargetRegistry,
 )
 from chicorystack.observe.events import emit
+from chicorystack.quarantine.strikes import StrikeTable
 from chicorystack.store.follower import Follower, Pace, Update
 from chicorystack.store.keyed_log import KeyedLog, Partition, StoreError
 from chicorystack.util import new_id
 
 GRANTS_TOPIC = "keyed.grants"
 ROUTERS_TOPIC = "keyed.routers"
+STRIKES_TOPIC = "keyed.strikes"
 
 
 class Dialect(NamedTuple):
@@ -115,13 +118,19 @@
             PrefixAffinity(loads), LeastLoaded(settings.data_centre, loads)
         )
         self._retries = RetryShare(reactor, settings, self._routers.count)
+        strikes = StrikeTable(reactor)
+        self._strike_share = StrikeShare(
+            reactor, log, STRIKES_TOPIC, settings.name, strikes
+        )
+        crashes = CrashWatch(reactor, strikes, self._strike_share.write)
         self._dispatcher = Dispatcher(
             reactor,
             lambda: self._config,
             dialect.targets,
-            TargetPool(reactor, self._registry, loads, placer),
+            TargetPool(reactor, self._registry, loads, placer, crashes),
             self._grants,
             self._retries,
+            strikes,
         )
         self._site = GatewaySite(
             reactor, dialect.callers, self._dispatcher.serve
@@ -145,6 +154,7 @@
         self._targets_follower.start()
         self._routers.start()
         self._grants.start()
+        self._strike_share.start()
         emit("gateway", "started", callers=str(settings.callers))
 
     def reload(self, settings: GatewaySettings) -> None:
--- a/chicorystack/platform/standin/engine.py
+++ b/chicorystack/platform/standin/engine.py
@@ -1,6 +1,7 @@
 """A stand-in for the platform's engines: streams, plain answers and faults."""
 
 import math
+import os
 from collections import Counter
 
 import msgspec
@@ -25,6 +26,8 @@
         fail: Whether it answers plain requests with 500.
         silent: Whether it says nothing.
         surplus: Whether bytes follow a whole answer.
+        crash_on: Part of a path whose requests end the process; empty for
+            none.
     """
 
     shed: bool = False
@@ -35,6 +38,7 @@
     fail: bool = False
     silent: bool = False
     surplus: bool = False
+    crash_on: str = ""
 
 
 class EngineCounts(msgspec.Struct):
@@ -100,6 +104,8 @@
             return server.NOT_DONE_YET
         self._counts.runs += 1
         self._runs_by_id[_request_id(request)] += 1
+        if faults.crash_on and faults.crash_on.encode() in request.path:
+            os._exit(1)
         usage = request.getHeader("X-Chicorystack-Token-Usage")
         work = self._stream(request, usage) if usage else self._plain(request)
         running = defer.ensureDeferred(work)
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -16,6 +16,7 @@
     route,
     running_platform_fleet,
 )
+from chicorystack import defaults
 
 ENGINES = {
     "i-llm-1": "llm",
@@ -314,3 +315,30 @@
             e for e in fleet.events("router-1") if e["event"] == "stopped"
         ]
         assert stopped["open"] == 0
+
+
+def test_request_that_crashes_engines_is_refused_at_all_routers(tmp_path):
+    names = [f"i-app-{number}" for number in range(1, 6)]
+    with running_platform_fleet(tmp_path) as fleet:
+        for name in names:
+            fleet.start_engine(name, "app")
+            fleet.engine_faults(name, crash_on="poison")
+        for router in ("router-1", "router-2"):
+            fleet.start_router(router)
+        fleet.publish(default_config())
+        fleet.wait_until_ready()
+
+        def look_up(router, path, name):
+            return fleet.call(router, path, name, method="GET")
+
+        look_up("router-1", "/status/poison", "first")
+        look_up("router-2", "/status/poison", "second")
+        time.sleep(2 * defaults.STRIKES_READ_PAUSE_S)
+        alive = sum(fleet.is_running(name) for name in names)
+        assert alive == len(names) - 4
+        for router in ("router-1", "router-2"):
+            reply = look_up(router, "/status/poison", f"third-{router}")
+            assert reply.status == 503
+            assert b"quarantined" in reply.body
+            assert look_up(router, "/status/1", f"good-{router}").status == 200
+        assert sum(fleet.is_running(name) for name in names) == alive
