Use one retry budget for both interfaces

Cause: the own interface and the gateway each had a budget of retries, decided by two classes. Change: routing/retry_budget.py serves both: a part of the calls and some slack over a sliding span, shared by the routers. The own interface keeps its ratio and its 20 at once, now over 60 s, where they were refilled by calls alone.

--- a/chicorystack/defaults.py
+++ b/chicorystack/defaults.py
@@ -179,6 +179,8 @@
 MAX_ATTEMPTS = 3
 RETRIES_PER_CALL = 0.1
 RETRY_BUDGET_MAX = 20
+# Span over which a router counts its calls and retries.
+RETRY_WINDOW_S = 60.0
 RETRY_DELAY_MAX_S = 0.02
 
 # Ejection of targets.
@@ -294,7 +296,7 @@
 AFFINITY_LOAD_SLACK = 2.0
 # Part of its share of further attempts that a router uses; the rest covers
 # routers that count calls of a moment before.
-RETRY_SHARE_PART = 0.85
+RETRY_BUDGET_PART = 0.85
 # A target that says nothing for so many times the objective, or the longest
 # pause between events, is given up where another may take the call.
 SILENCE_OBJECTIVES = 2.5
--- a/chicorystack/gateway/call_run.py
+++ b/chicorystack/gateway/call_run.py
@@ -14,10 +14,10 @@
 )
 from chicorystack.gateway.messages import Call, CallerReply, Refusal
 from chicorystack.gateway.outcomes import CallStory
-from chicorystack.gateway.retry_share import RetryShare
 from chicorystack.gateway.target_pool import TargetPool
 from chicorystack.gateway.targets import TargetEntry
 from chicorystack.observe.events import emit
+from chicorystack.routing.retry_budget import RetryBudget
 from chicorystack.web.exchange import ExchangeError
 
 
@@ -31,7 +31,7 @@
         reply: CallerReply,
         dialect: TargetDialect,
         pool: TargetPool,
-        retries: RetryShare,
+        retries: RetryBudget,
     ):
         self._clock = clock
         self._call = call
--- a/chicorystack/gateway/dispatcher.py
+++ b/chicorystack/gateway/dispatcher.py
@@ -16,10 +16,10 @@
 from chicorystack.gateway.messages import Call, CallerReply, CallerRequest
 from chicorystack.gateway.model import GatewayConfig
 from chicorystack.gateway.outcomes import note_refused
-from chicorystack.gateway.retry_share import RetryShare
 from chicorystack.gateway.target_pool import TargetPool
 from chicorystack.observe.events import emit
 from chicorystack.quarantine.strikes import StrikeTable
+from chicorystack.routing.retry_budget import RetryBudget
 
 
 class Dispatcher:
@@ -36,7 +36,7 @@
         dialect: TargetDialect,
         pool: TargetPool,
         grants: GrantClient,
-        retries: RetryShare,
+        retries: RetryBudget,
         strikes: StrikeTable,
     ):
         self._clock = clock
--- a/chicorystack/gateway/process.py
+++ b/chicorystack/gateway/process.py
@@ -26,7 +26,6 @@
     LeastLoaded,
     PrefixAffinity,
 )
-from chicorystack.gateway.retry_share import RetryShare
 from chicorystack.gateway.settings import GatewaySettings
 from chicorystack.gateway.status_http import (
     MetricsPage,
@@ -41,6 +40,7 @@
 )
 from chicorystack.observe.events import emit
 from chicorystack.quarantine.strikes import StrikeTable
+from chicorystack.routing.retry_budget import RetryBudget
 from chicorystack.store.follower import Follower, Pace, Update
 from chicorystack.store.keyed_log import KeyedLog, Partition, StoreError
 from chicorystack.util import new_id
@@ -117,7 +117,9 @@
         placer = ByRoute(
             PrefixAffinity(loads), LeastLoaded(settings.data_centre, loads)
         )
-        self._retries = RetryShare(reactor, settings, self._routers.count)
+        self._retries = RetryBudget(
+            reactor, settings.retries, self._routers.count
+        )
         strikes = StrikeTable(reactor)
         self._strike_share = StrikeShare(
             reactor, log, STRIKES_TOPIC, settings.name, strikes
@@ -163,7 +165,7 @@
             return
         emit("gateway", "reloaded", before=self._settings, now=settings)
         self._settings = settings
-        self._retries.set_settings(settings)
+        self._retries.set_bounds(settings.retries)
 
     async def drain(self) -> None:
         """Finishes what is under way, then stops the reactor."""
--- a/chicorystack/gateway/settings.py
+++ b/chicorystack/gateway/settings.py
@@ -2,6 +2,7 @@
 
 from typing import NamedTuple
 
+from chicorystack.routing.retry_budget import RetryBounds
 from chicorystack.web.exchange import Address
 
 
@@ -16,10 +17,7 @@
         metrics: Where it shows its metrics.
         peers: Where it answers other routers.
         max_descriptors: File descriptors that it may open.
-        retry_ratio: Further attempts that all routers may make for each call
-            of a service.
-        retry_window_s: Span over which these are counted.
-        retry_slack: Further attempts of all routers in a span beyond that.
+        retries: Further attempts that all routers may make.
         stop_within_s: Time from the signal to stop to being killed.
     """
 
@@ -30,7 +28,5 @@
     metrics: Address
     peers: Address
     max_descriptors: int
-    retry_ratio: float
-    retry_window_s: float
-    retry_slack: float
+    retries: RetryBounds
     stop_within_s: float
--- a/chicorystack/platform/settings.py
+++ b/chicorystack/platform/settings.py
@@ -7,6 +7,7 @@
 from chicorystack.errors import UserError
 from chicorystack.gateway.settings import GatewaySettings
 from chicorystack.platform.store import StoreSettings
+from chicorystack.routing.retry_budget import RetryBounds
 from chicorystack.web.exchange import Address
 
 SETTINGS_VARIABLE = "CHICORYSTACK_SETTINGS"
@@ -138,9 +139,11 @@
         metrics=Address(file.NodeIp, file.PortRange[0]),
         peers=Address(file.NodeIp, file.PortRange[0] + PEERS_PORT_OFFSET),
         max_descriptors=file.Limits.MaxFds,
-        retry_ratio=file.Bounds.RetryBudgetRatio,
-        retry_window_s=file.Bounds.RetryWindowS,
-        retry_slack=file.Bounds.RetrySlack,
+        retries=RetryBounds(
+            ratio=file.Bounds.RetryBudgetRatio,
+            window_s=file.Bounds.RetryWindowS,
+            slack=file.Bounds.RetrySlack,
+        ),
         stop_within_s=file.Bounds.GracePeriodS,
     )
     store = StoreSettings(Address.parse(file.Platform.Address))
--- a/chicorystack/router/repeatable_attempts.py
+++ b/chicorystack/router/repeatable_attempts.py
@@ -13,10 +13,18 @@
 from chicorystack.router.forwarder import Delivered, NotDeliveredError
 from chicorystack.router.progress import Patience, Progress
 from chicorystack.routing.call_queue import CallQueues, Ticket
-from chicorystack.routing.retry_budget import RetryBudget
+from chicorystack.routing.retry_budget import RetryBounds, RetryBudget
 from chicorystack.routing.targets import TargetState, TargetTable
 from chicorystack.routing.timings import OperationId, Timings
 
+# One budget serves all services of this router.
+ALL_SERVICES = "all"
+RETRY_BOUNDS = RetryBounds(
+    ratio=defaults.RETRIES_PER_CALL,
+    window_s=defaults.RETRY_WINDOW_S,
+    slack=defaults.RETRY_BUDGET_MAX,
+)
+
 
 class RepeatableAttempts:
     """Tries targets of a repeatable call until one gives the answer.
@@ -38,13 +46,13 @@
         self._attempt = attempt
         self._queues = queues
         self._timings = timings
-        self._retries = RetryBudget()
+        self._retries = RetryBudget(clock, RETRY_BOUNDS, lambda: 1)
 
     async def run(
         self, request: server.Request, call: Call, reservation: Reservation
     ) -> Delivered:
         """Delivers the answer; raises as Attempts.run says."""
-        self._retries.note_call()
+        self._retries.note_call(ALL_SERVICES)
         progress = Progress()
         progress.resumable = call.service.resumable
         tried: list[str] = []
@@ -165,7 +173,7 @@
         final = last or self._clock.seconds() >= call.deadline
         if error.started and not call.service.resumable:
             raise error
-        if final or not self._retries.take():
+        if final or not self._retries.take(ALL_SERVICES):
             if error.started:
                 raise error
             raise error.refusal or _failed(call) from error
--- a/tests/routing/test_health.py
+++ b/tests/routing/test_health.py
@@ -8,6 +8,10 @@
 from twisted.internet.task import Clock
 
 from chicorystack import defaults
+from chicorystack.router.repeatable_attempts import (
+    ALL_SERVICES,
+    RETRY_BOUNDS,
+)
 from chicorystack.routing.health import HealthTable
 from chicorystack.routing.pickers import (
     LeastSent,
@@ -80,14 +84,14 @@
 
 @given(st.lists(st.booleans(), max_size=300))
 def test_retries_stay_a_fraction_of_calls(steps):
-    budget = RetryBudget()
+    budget = RetryBudget(Clock(), RETRY_BOUNDS, lambda: 1)
     calls = retries = 0
     for is_call in steps:
         if is_call:
-            budget.note_call()
+            budget.note_call(ALL_SERVICES)
             calls += 1
         else:
-            retries += budget.take()
+            retries += budget.take(ALL_SERVICES)
     allowed = defaults.RETRY_BUDGET_MAX + defaults.RETRIES_PER_CALL * calls
     assert retries <= allowed + 1e-6
 
--- a/tests/gateway/test_retry_share.py
+++ b/tests/routing/test_retry_budget.py
@@ -4,21 +4,15 @@
 
 from twisted.internet.task import Clock
 
-from chicorystack.gateway.retry_share import RetryShare
-from chicorystack.gateway.settings import GatewaySettings
-from chicorystack.web.exchange import Address
+from chicorystack.routing.retry_budget import RetryBounds, RetryBudget
 
-ANY = Address("127.0.0.1", 1)
-SETTINGS = GatewaySettings(
-    "n", "z", ANY, ANY, ANY, ANY, 100, retry_ratio=0.2, retry_window_s=10.0,
-    retry_slack=52.0, stop_within_s=8.0,
-)  # fmt: skip
+BOUNDS = RetryBounds(ratio=0.2, window_s=10.0, slack=52.0)
 
 
 def test_routers_that_retry_all_they_can_keep_the_bound():
     clock = Clock()
     rng = random.Random(4)
-    routers = [RetryShare(clock, SETTINGS, lambda: 4) for _ in range(4)]
+    routers = [RetryBudget(clock, BOUNDS, lambda: 4) for _ in range(4)]
     calls, retries = [], []
     for _ in range(4000):
         clock.advance(0.01)
@@ -29,7 +23,7 @@
         for _ in range(3):
             if router.take("s"):
                 retries.append(now)
-        window = now - SETTINGS.retry_window_s
+        window = now - BOUNDS.window_s
         recent = sum(at >= window for at in retries)
         bound = 0.2 * sum(at >= window for at in calls) + 52
         assert recent <= bound
@@ -38,8 +32,8 @@
 
 def test_retries_come_back_as_the_window_slides():
     clock = Clock()
-    share = RetryShare(clock, SETTINGS, lambda: 1)
+    share = RetryBudget(clock, BOUNDS, lambda: 1)
     taken = sum(share.take("s") for _ in range(100))
     assert 0 < taken <= 52
-    clock.advance(SETTINGS.retry_window_s + 0.1)
+    clock.advance(BOUNDS.window_s + 0.1)
     assert share.take("s")
