Pass by targets that cannot be reached without counting it as a rejection

Cause: a call was refused (503 not_run) once three targets could not be reached, each also taking a retry from the shared budget, though nothing had been sent to them. Ruled out: that such an attempt counts at the target; no byte reaches it.

--- a/chicorystack/defaults.py
+++ b/chicorystack/defaults.py
@@ -320,6 +320,8 @@
 GRANT_CALL_WAIT_S = 0.6
 # Targets that may reject a call before it is refused.
 MAX_REJECTIONS = 2
+# Targets that may be unreachable before a call is refused.
+MAX_UNREACHED = 5
 # Part of the objective below which no target could answer in time.
 LEAST_OBJECTIVE_PART = 0.25
 TARGET_CONNECT_TIMEOUT_S = 0.4
--- a/chicorystack/gateway/attempt.py
+++ b/chicorystack/gateway/attempt.py
@@ -26,9 +26,14 @@
 
 
 class End(enum.Enum):
-    """How an attempt ended."""
+    """How an attempt ended.
+
+    Nothing was sent to a target that is unreachable; one that says that it
+    has not run the call was sent it.
+    """
 
     DELIVERED = "delivered"
+    UNREACHABLE = "unreachable"
     NOT_RUN = "not_run"
     TARGET_FAILED = "target_failed"
     BROKEN = "broken"
--- a/chicorystack/gateway/call_run.py
+++ b/chicorystack/gateway/call_run.py
@@ -20,6 +20,9 @@
 from chicorystack.routing.retry_budget import RetryBudget
 from chicorystack.web.exchange import ExchangeError
 
+# Ends of attempts after which a call has certainly not run.
+NOT_RUN = frozenset({End.UNREACHABLE, End.NOT_RUN})
+
 
 class CallRun:
     """All attempts of one call."""
@@ -43,9 +46,11 @@
         self._transcript = Transcript(reply, call.request.last_event)
         self._attempt: Attempt | None = None
         self._tried: set[str] = set()
-        # Attempts that may have run, and attempts that have not.
+        # Attempts that may have run, that a target has refused to run, and
+        # for which no target was reached.
         self._runs = 0
         self._rejections = 0
+        self._unreached = 0
         self._outcome = "none"
         self._status = 0
         self._reason = ""
@@ -85,7 +90,7 @@
             self._tried.add(target.id)
             if not self._pool.has_candidate(self._call, self._tried):
                 return result
-            if not self._retries.take(self._call.service):
+            if not self._may_send_again(result):
                 emit(
                     "request", "retry_refused", id=self._call.request.id,
                     service=self._call.service, reason=result.reason,
@@ -128,7 +133,7 @@
         try:
             connection = await self._pool.connection(self._call, target)
         except ExchangeError as error:
-            return AttemptResult(End.NOT_RUN, str(error), lost=True)
+            return AttemptResult(End.UNREACHABLE, str(error), lost=True)
         if attempt.done or self._reply.gone:
             connection.give_back()
             return await attempt.ended if attempt.done else _left()
@@ -153,7 +158,9 @@
         )
 
     def _count(self, result: AttemptResult) -> None:
-        if result.end is End.NOT_RUN:
+        if result.end is End.UNREACHABLE:
+            self._unreached += 1
+        elif result.end is End.NOT_RUN:
             self._rejections += 1
         else:
             self._runs += 1
@@ -166,9 +173,17 @@
             return False
         if self._rejections > defaults.MAX_REJECTIONS:
             return False
+        if self._unreached > defaults.MAX_UNREACHED:
+            return False
         if self._call.deadline - self._clock.seconds() < self._least_time_s():
             return False
-        return result.end is End.NOT_RUN or self._call.route.repeatable
+        return result.end in NOT_RUN or self._call.route.repeatable
+
+    def _may_send_again(self, result: AttemptResult) -> bool:
+        """Takes a retry from the budget, unless no target has been sent it."""
+        if result.end is End.UNREACHABLE:
+            return True
+        return self._retries.take(self._call.service)
 
     def _least_time_s(self) -> float:
         """Returns the time below which a target could not answer."""
@@ -213,7 +228,7 @@
     def _refusal(self, result: AttemptResult) -> Refusal:
         if result.end is End.EXPIRED:
             return Refusal(504, "deadline_exceeded", "no answer came in time")
-        if result.end is End.NOT_RUN:
+        if result.end in NOT_RUN:
             return Refusal(
                 503,
                 "not_run",
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from bench.fleet import LOOPBACK, wait_until
+from bench.fleet import LOOPBACK, free_port, wait_until
 from bench.platform_fleet import (
     KEY,
     STREAM_HOST,
@@ -117,6 +117,23 @@
     assert [reply.status for reply in replies] == [200] * 6
 
 
+@pytest.mark.parametrize(("path", "method"), [("/status/1", "GET"),
+                                              ("/book/1", "POST")])  # fmt: skip
+def test_call_passes_by_engines_that_cannot_be_reached(fleet, path, method):
+    names = [f"i-away-{number}" for number in range(5)]
+    for name in names:
+        fleet.port_by_engine[name] = free_port()
+        fleet.enter_engine(name, "app")
+    time.sleep(2 * defaults.TARGETS_READ_PAUSE_S)
+    try:
+        reply = fleet.call("router-2", path, f"past-{method}", method=method)
+    finally:
+        for name in names:
+            fleet.put("keyed.servers", name, "")
+    time.sleep(2 * defaults.TARGETS_READ_PAUSE_S)
+    assert reply.status == 200
+
+
 @pytest.mark.parametrize("fault", ["foreign", "unsigned"])
 def test_answer_that_is_not_the_callers_is_not_passed_on(fleet, fault):
     set_app_faults(fleet, **{fault: True})
