Review grants less often the more routers there are; give back in any round

Two changes in one commit, as the second was found by the first's tests.

All routers reviewed at the same moment each second. Change: routers review at different moments; from six routers on, reviews and renewals come less often in proportion; a record that no call waits for leaves the way to others for longer after a conflict.

Cause: give_back returned at once if an append of the partition was under way; what it held then stayed granted to a process that was gone. Ruled out: the hand-over to other routers, which is not taken in touch. Change: the stop waits for the round and the one after it, within its time limit. The new test fails without it.

--- a/chicorystack/budget/grant_client.py
+++ b/chicorystack/budget/grant_client.py
@@ -2,8 +2,6 @@
 
 from collections.abc import Callable
 
-from twisted.internet import task
-
 from chicorystack import defaults
 from chicorystack.budget.grant_partition import GrantPartition
 from chicorystack.budget.grant_records import (
@@ -11,7 +9,7 @@
     Holder,
     LeaseClock,
 )
-from chicorystack.budget.grants import GrantBook
+from chicorystack.budget.grants import GrantBook, review_scale
 from chicorystack.budget.loans import Borrower, Lender, LoanPeers
 from chicorystack.store.keyed_log import KeyedLog, Partition
 from chicorystack.util import stable_hash
@@ -50,17 +48,27 @@
             for number in range(defaults.GRANT_PARTITIONS)
         ]
         self._prepaid_by_customer: dict[str, int] = {}
-        self._loop = task.LoopingCall(self._review)
-        self._loop.clock = clock
+        self._routers = routers
+        self._next_review = None
+
+    def start(self, first_review_s: float = defaults.GRANT_REVIEW_S) -> None:
+        """Begins to review grants.
 
-    def start(self) -> None:
-        """Begins to review grants at fixed times."""
-        self._loop.start(defaults.GRANT_REVIEW_S, now=False)
+        Args:
+            first_review_s: Time to the first review. Routers that start
+                together should choose different ones.
+        """
+        self._review_in(first_review_s)
 
     def stop(self) -> None:
         """Ends the reviews."""
-        if self._loop.running:
-            self._loop.stop()
+        if self._next_review is not None and self._next_review.active():
+            self._next_review.cancel()
+
+    def _review_in(self, seconds: float) -> None:
+        self._next_review = self._clock.callLater(
+            seconds, self._review, seconds
+        )
 
     def set_prepaid(self, prepaid_by_customer: dict[str, int]) -> None:
         """Takes over what customers have prepaid, from a configuration."""
@@ -106,8 +114,11 @@
         for partition in self._partitions:
             await partition.give_back()
 
-    def _review(self) -> None:
-        self._book.note_interval(defaults.GRANT_REVIEW_S)
+    def _review(self, seconds: float) -> None:
+        """Reviews grants, at intervals that grow with the routers' number."""
+        scale = review_scale(self._routers())
+        self._review_in(defaults.GRANT_REVIEW_S * scale)
+        self._book.note_interval(seconds)
         for number, partition in enumerate(self._partitions):
             if self._is_short(number):
                 partition.reread()
--- a/chicorystack/budget/grant_partition.py
+++ b/chicorystack/budget/grant_partition.py
@@ -162,9 +162,9 @@
 
     async def give_back(self) -> None:
         """Returns what is not in use, once no more calls come."""
-        if not self._busy and self._customers:
-            self._busy = self._again = True
-            await self._run()
+        self.review()
+        while self._busy:
+            await task.deferLater(self._clock, defaults.GIVE_BACK_CHECK_S)
 
     async def _run(self) -> None:
         try:
@@ -186,7 +186,7 @@
             # A conflict says that the append without an answer has failed,
             # or that it stands; the read that follows tells which.
             self._stale = True
-            delay_s = random.uniform(0, defaults.GRANT_CONFLICT_DELAY_MAX_S)
+            delay_s = random.uniform(0, self._conflict_delay_s())
         except HistoryGoneError:
             self._ledger.end = None
             return True
@@ -195,6 +195,15 @@
         await task.deferLater(self._clock, delay_s)
         return True
 
+    def _conflict_delay_s(self) -> float:
+        """Returns the longest pause after another router was faster.
+
+        Records that no call waits for leave the way to others.
+        """
+        if self._waiters:
+            return defaults.GRANT_CONFLICT_DELAY_MAX_S
+        return defaults.GRANT_CONFLICT_DELAY_S_PER_ROUTER * self._routers()
+
     async def _read(self) -> None:
         if self._ledger.end is None:
             found = await self._log.newest(self._partition)
--- a/chicorystack/budget/grants.py
+++ b/chicorystack/budget/grants.py
@@ -116,7 +116,8 @@
         granted = account.charged + min(left, beyond_loans)
         terms = account.new_terms(granted)
         account.resume()
-        if not self._is_worth_writing(account, terms):
+        renew_s = defaults.GRANT_RENEW_S * review_scale(routers)
+        if not self._is_worth_writing(account, terms, renew_s):
             return None
         account.note_pending(terms)
         message = GrantRecord(
@@ -141,7 +142,9 @@
             spent += earlier["spent"]
         return lost, spent
 
-    def _is_worth_writing(self, account: Account, terms: Terms) -> bool:
+    def _is_worth_writing(
+        self, account: Account, terms: Terms, renew_s: float
+    ) -> bool:
         """Tells whether terms differ enough from the present ones."""
         present = account.terms
         if present is None:
@@ -153,17 +156,30 @@
         ) > present.limit(terms.at):
             return True
         if account.charged != present.in_use:
-            return self._is_due(present, terms)
+            return _is_due(present, terms, renew_s)
         surplus = present.granted - terms.granted
         return (
             surplus > max(terms.granted - terms.in_use, 0)
             and surplus > defaults.GRANT_SURPLUS_MIN
-        ) or (present.granted > present.in_use and self._is_due(present, terms))
+        ) or (
+            present.granted > present.in_use
+            and _is_due(present, terms, renew_s)
+        )
+
+
+def review_scale(routers: int) -> float:
+    """Returns how much longer than usual routers leave their grants alone.
+
+    All of them together then write about as often, however many they are, and
+    each holds the less.
+    """
+    return max(1.0, routers / defaults.GRANT_ROUTERS_AT_FULL_PACE)
+
 
-    def _is_due(self, present: Terms, terms: Terms) -> bool:
-        """Tells whether terms are to be renewed, so that little is lost."""
-        elapsed_s = terms.at.since(present.at)
-        return elapsed_s is None or elapsed_s >= defaults.GRANT_RENEW_S
+def _is_due(present: Terms, terms: Terms, renew_s: float) -> bool:
+    """Tells whether terms are to be renewed, so that little is lost."""
+    elapsed_s = terms.at.since(present.at)
+    return elapsed_s is None or elapsed_s >= renew_s
 
 
 def _held_ahead(
--- a/chicorystack/defaults.py
+++ b/chicorystack/defaults.py
@@ -262,9 +262,14 @@
 # Unused tokens that are not worth a record that gives them back.
 GRANT_SURPLUS_MIN = 2_000
 GRANT_REVIEW_S = 1.0
+# Routers from whose number on each reviews less often.
+GRANT_ROUTERS_AT_FULL_PACE = 6
 # Part of a budget below which routers look each review at what is left.
 GRANT_SHORT_PART = 0.25
+# Longest pause after another router was faster, if a call waits, and for each
+# router if none does.
 GRANT_CONFLICT_DELAY_MAX_S = 0.02
+GRANT_CONFLICT_DELAY_S_PER_ROUTER = 0.005
 # When callers may come back for whom no tokens are left, or none while the
 # store is away.
 GRANT_SHORT_RETRY_S = 5.0
@@ -338,3 +343,4 @@
 # Time kept of the grace period for handing tokens back and closing.
 DRAIN_RESERVE_S = 1.2
 HAND_BACK_TIMEOUT_S = 0.8
+GIVE_BACK_CHECK_S = 0.02
--- a/chicorystack/gateway/process.py
+++ b/chicorystack/gateway/process.py
@@ -1,5 +1,6 @@
 """One gateway router with all its parts."""
 
+import random
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -155,7 +156,7 @@
         self._config_follower.start()
         self._targets_follower.start()
         self._routers.start()
-        self._grants.start()
+        self._grants.start(random.uniform(0, defaults.GRANT_REVIEW_S))
         self._strike_share.start()
         emit("gateway", "started", callers=str(settings.callers))
 
--- a/tests/budget/test_loans.py
+++ b/tests/budget/test_loans.py
@@ -241,6 +241,19 @@
     assert account.granted == account.charged
 
 
+def test_router_gives_back_though_it_is_at_the_store_just_then():
+    routers = routers_in_an_outage()
+    routers.log.down = False
+    routers.pump(3.0)
+    client = routers.client_by_name["quiet"]
+    appends = client._partitions[client._number("alpha")]
+    while not appends._busy or appends._stale:
+        routers.clock.advance(0.001)
+    stop(routers, "quiet")
+    account = account_of(routers, "quiet")
+    assert account.granted == account.charged
+
+
 def test_budget_breaks_where_loans_are_not_charged(monkeypatch):
     def lend_for_nothing(self, needed, wished):
         return max(0, min(self.free, needed))
