--- a/chicorystack/budget/grant_partition.py
+++ b/chicorystack/budget/grant_partition.py
@@ -7,10 +7,14 @@
 from twisted.internet import defer, task
 
 from chicorystack import defaults
+from chicorystack.budget.grant_queue import (
+    GrantError,
+    GrantQueue,
+    WaitingCall,
+)
 from chicorystack.budget.grant_records import GrantLedger, GrantReservation
 from chicorystack.budget.grants import GrantBook
 from chicorystack.budget.loans import Borrower
-from chicorystack.errors import ChicoryError
 from chicorystack.observe.events import emit
 from chicorystack.store.keyed_log import (
     ConflictError,
@@ -23,34 +27,6 @@
 from chicorystack.util import backoff_delay
 
 
-class GrantError(ChicoryError):
-    """There are no tokens for a call now.
-
-    Attributes:
-        exhausted: Whether what is left cannot cover the call.
-        retry_after_s: When there may be some.
-    """
-
-    def __init__(self, message: str, exhausted: bool, retry_after_s: float):
-        super().__init__(message)
-        self.exhausted = exhausted
-        self.retry_after_s = retry_after_s
-
-
-class _Waiter(NamedTuple):
-    """A call that waits for tokens.
-
-    Attributes:
-        customer: Who pays.
-        tokens: Tokens that it needs.
-        turn: Fires once they are set aside.
-    """
-
-    customer: str
-    tokens: int
-    turn: "defer.Deferred[None]"
-
-
 class _Append(NamedTuple):
     """An append under a condition.
 
@@ -83,7 +59,7 @@
         self._routers = routers
         self._ledger = GrantLedger()
         self._customers: list[str] = []
-        self._waiters: list[_Waiter] = []
+        self._queue = GrantQueue(book)
         # Customers whose waiting calls are helped by other routers just now.
         self._borrowing: set[str] = set()
         self._busy = False
@@ -126,21 +102,19 @@
                 exhausted=False,
                 retry_after_s=account.wait_s(tokens),
             )
-        waiter = _Waiter(customer, tokens, defer.Deferred())
-        self._waiters.append(waiter)
-        account.wanted += tokens
+        call = self._queue.add(customer, tokens)
         timer = self._clock.callLater(
-            max(0.0, give_up_at - self._clock.seconds()), self._give_up, waiter
+            max(0.0, give_up_at - self._clock.seconds()), self._give_up, call
         )
         if self._failures:
-            self._borrow_for_waiters()
+            self._borrow_for_queue()
         self.review()
         try:
-            await waiter.turn
+            await call.turn
         finally:
             if timer.active():
                 timer.cancel()
-            self._forget(waiter)
+            self._queue.remove(call)
         return GrantReservation(customer, tokens)
 
     def review(self) -> None:
@@ -200,7 +174,7 @@
 
         Records that no call waits for leave the way to others.
         """
-        if self._waiters:
+        if self._queue:
             return defaults.GRANT_CONFLICT_DELAY_MAX_S
         return defaults.GRANT_CONFLICT_DELAY_S_PER_ROUTER * self._routers()
 
@@ -240,7 +214,7 @@
         self._ledger.apply(append.records, offset + len(append.records))
         self._take_ledger()
         self._log_grants(append.records)
-        return bool(self._waiters)
+        return bool(self._queue)
 
     def _next_append(self) -> "_Append | None":
         """Returns what to append.
@@ -260,7 +234,7 @@
 
     def _end_round(self) -> bool:
         """Refuses calls that a fresh ledger has no tokens for."""
-        if not self._waiters:
+        if not self._queue:
             return False
         if self._verified:
             self._refuse_hopeless()
@@ -270,18 +244,11 @@
 
     def _take_ledger(self) -> None:
         self._book.take_ledger(self._ledger)
-        self._serve_waiters()
+        self._queue.serve()
 
-    def _serve_waiters(self) -> None:
-        for waiter in list(self._waiters):
-            account = self._book.account_by_customer[waiter.customer]
-            if account.reserve(waiter.tokens):
-                self._forget(waiter)
-                waiter.turn.callback(None)
-
-    def _borrow_for_waiters(self) -> None:
+    def _borrow_for_queue(self) -> None:
         """Asks other routers for what waiting calls lack."""
-        for customer in {waiter.customer for waiter in self._waiters}:
+        for customer in self._queue.customers():
             if customer in self._borrowing:
                 continue
             self._borrowing.add(customer)
@@ -295,66 +262,53 @@
                 await self._borrower.borrow(customer, self._ledger)
         finally:
             self._borrowing.discard(customer)
-        self._serve_waiters()
-        for waiter in list(self._waiters):
-            if waiter.customer != customer:
-                continue
+        self._queue.serve()
+        for call in self._queue.calls(customer):
             if self.store_lost:
-                self._give_up(waiter)
+                self._give_up(call)
             elif not self._failures:
-                self._refuse_short(waiter)
+                self._refuse_short(call)
 
     def _refuse_hopeless(self) -> None:
         """Deals with calls for which a fresh ledger has no tokens left."""
-        for waiter in list(self._waiters):
-            if waiter.tokens > self._certainly_left(waiter.customer):
-                self._refuse_short(waiter)
-        self._borrow_for_waiters()
+        for call in self._queue.calls():
+            if call.tokens > self._certainly_left(call.customer):
+                self._refuse_short(call)
+        self._borrow_for_queue()
 
     def _certainly_left(self, customer: str) -> int:
         """Returns the most that may be left of a budget."""
         account = self._book.account_by_customer[customer]
         return account.prepaid - self._ledger.spent(customer)
 
-    def _refuse_short(self, waiter: _Waiter) -> None:
-        left = self._certainly_left(waiter.customer)
-        prepaid = self._book.account_by_customer[waiter.customer].prepaid
+    def _refuse_short(self, call: WaitingCall) -> None:
+        left = self._certainly_left(call.customer)
+        prepaid = self._book.account_by_customer[call.customer].prepaid
         error = GrantError(
-            f"{waiter.tokens} tokens are not to be had; at most "
+            f"{call.tokens} tokens are not to be had; at most "
             f"{left} of {prepaid} are left",
-            exhausted=waiter.tokens > left,
+            exhausted=call.tokens > left,
             retry_after_s=defaults.GRANT_SHORT_RETRY_S,
         )
-        self._fail(waiter, error)
+        self._queue.refuse(call, error)
 
-    def _give_up(self, waiter: _Waiter) -> None:
-        account = self._book.account_by_customer[waiter.customer]
-        wait_s = account.wait_s(waiter.tokens)
+    def _give_up(self, call: WaitingCall) -> None:
+        account = self._book.account_by_customer[call.customer]
+        wait_s = account.wait_s(call.tokens)
         error = GrantError("no grant came in time", False, wait_s)
-        self._fail(waiter, error)
-
-    def _fail(self, waiter: _Waiter, error: GrantError) -> None:
-        self._forget(waiter)
-        if not waiter.turn.called:
-            waiter.turn.errback(error)
-
-    def _forget(self, waiter: _Waiter) -> None:
-        if waiter in self._waiters:
-            self._waiters.remove(waiter)
-            account = self._book.account_by_customer[waiter.customer]
-            account.wanted -= waiter.tokens
+        self._queue.refuse(call, error)
 
     def _note_failure(self, error: StoreError) -> float:
         self._failures += 1
         self._stale = True
         # Terms may have grown meanwhile.
-        self._serve_waiters()
+        self._queue.serve()
         if self._failures == defaults.STORE_LOST_AFTER_FAILURES:
             emit(
                 "budget", "store_lost", partition=self._partition.number,
-                reason=str(error), waiting=len(self._waiters),
+                reason=str(error), waiting=len(self._queue),
             )  # fmt: skip
-        self._borrow_for_waiters()
+        self._borrow_for_queue()
         return backoff_delay(self._failures, defaults.STORE_RETRY_MAX_S)
 
     def _note_reached(self) -> None:
--- a/chicorystack/budget/loans.py
+++ b/chicorystack/budget/loans.py
@@ -141,11 +141,13 @@
             tokens = account.lend(request.needed, request.wished)
             given = given._replace(number=request.number, tokens=tokens)
             self._given_by_borrower[key] = given
-        emit(
-            "budget", "lent", customer=request.customer, to=request.router,
-            number=request.number, needed=request.needed,
-            wished=request.wished, tokens=given.tokens, free=account.free,
-        )  # fmt: skip
+        if given.tokens:
+            emit(
+                "budget", "lent", customer=request.customer,
+                to=request.router, number=request.number,
+                needed=request.needed, wished=request.wished,
+                tokens=given.tokens, free=account.free,
+            )  # fmt: skip
         return LoanAnswer(given.tokens, account.free)
 
     def take_over(self, message: HandOver) -> HandOverAnswer:
--- a/chicorystack/gateway/dispatcher.py
+++ b/chicorystack/gateway/dispatcher.py
@@ -7,7 +7,7 @@
 
 from chicorystack import defaults
 from chicorystack.budget.grant_client import GrantClient
-from chicorystack.budget.grant_partition import GrantError
+from chicorystack.budget.grant_queue import GrantError
 from chicorystack.budget.grant_records import GrantReservation
 from chicorystack.errors import ApiError
 from chicorystack.gateway.admission import Admission, RefusedError, refuse
--- a/tests/budget/test_loans.py
+++ b/tests/budget/test_loans.py
@@ -7,7 +7,7 @@
 from chicorystack import defaults
 from chicorystack.budget.grant_account import Account
 from chicorystack.budget.grant_client import GrantClient
-from chicorystack.budget.grant_partition import GrantError
+from chicorystack.budget.grant_queue import GrantError
 from chicorystack.budget.grant_records import Holder, Instant
 from chicorystack.budget.loans import HandOver, LoanError, LoanRequest
 from tests.budget.grant_machine import GrantMachine
