--- a/chicorystack/gateway/dispatcher.py
+++ b/chicorystack/gateway/dispatcher.py
@@ -91,7 +91,8 @@
             self._strikes.check(call.content)
         except ApiError as error:
             retry_s = error.retry_after_ms / 1000
-            raise refuse(503, error.code, str(error), retry_s) from error
+            message = f"{error}: {call.content}"
+            raise refuse(503, error.code, message, retry_s) from error
 
     async def _reserve(
         self, call: Call, reply: CallerReply
