Ration the last tokens only after a start, and 4% of them

Cause: rations of the last 2% at all times refused what was still owed. Change: only a process younger than 20 s rations, and then the last 4%.

--- a/chicorystack/budget/grants.py
+++ b/chicorystack/budget/grants.py
@@ -136,8 +136,13 @@
     def _rationed(
         self, account: Account, granted: int, left: int, routers: int
     ) -> int:
-        """Returns what may be granted, less where little is left."""
-        if left >= account.prepaid * defaults.GRANT_RATIONED_PART:
+        """Returns what may be granted, less where little is left.
+
+        Only a process that started a short while ago rations: after many
+        restarts callers come back all at once.
+        """
+        scarce = left < account.prepaid * defaults.GRANT_RATIONED_PART
+        if not scarce or not self._is_young():
             account.ration.end()
             return granted
         held = max(account.granted, account.charged)
@@ -147,6 +152,10 @@
             limit = held
         return min(granted, max(limit, account.charged))
 
+    def _is_young(self) -> bool:
+        age_s = self._clock.instant().since(self._started_at)
+        return age_s is not None and age_s < defaults.GRANT_RATION_AGE_S
+
     def _lost(self, earlier: GrantRecord | None) -> tuple[int, int]:
         """Returns what earlier processes of this VM may have used, and did."""
         if earlier is None:
--- a/chicorystack/budget/ration.py
+++ b/chicorystack/budget/ration.py
@@ -1,10 +1,11 @@
 """Spreads the last tokens of a budget over time.
 
-Pattern that it answers: a budget comes to its end under full load. Without
-it the last few percent go within a second or two to whoever comes first, the
-largest calls above all, and nobody is served until the next top-up. With it
-each router's grant grows by a part of what is left, so that use falls off
-exponentially, and smaller calls are still served for a while.
+Pattern that it answers: a budget comes to its end just after many restarts,
+as callers come back all at once. Without it the last few percent go within a
+second or two to whoever comes first, the largest calls above all, and nobody
+is served until the next top-up. With it each router's grant grows by a part of
+what is left, so that use falls off exponentially, and smaller calls are still
+served for a while.
 """
 
 from chicorystack import defaults
--- a/chicorystack/defaults.py
+++ b/chicorystack/defaults.py
@@ -270,10 +270,12 @@
 # router if none does.
 GRANT_CONFLICT_DELAY_MAX_S = 0.02
 GRANT_CONFLICT_DELAY_S_PER_ROUTER = 0.005
-# Part of a budget that is spread over time, and the time in which use falls to
-# 1/e then.
-GRANT_RATIONED_PART = 0.02
+# Part of a budget that is spread over time after a restart, and the time in
+# which use falls to 1/e then.
+GRANT_RATIONED_PART = 0.04
 GRANT_RATION_S = 10.0
+# Age of a process up to which it rations.
+GRANT_RATION_AGE_S = 20.0
 # When callers may come back for whom no tokens are left, or none while the
 # store is away.
 GRANT_SHORT_RETRY_S = 5.0
--- a/tests/budget/test_ration.py
+++ b/tests/budget/test_ration.py
@@ -40,8 +40,11 @@
 
 
 def routers_near_the_end():
+    """Returns routers that have just started on a nearly used budget."""
     routers = Routers("a", "b", "c", "d")
     spend_down(routers, left=int(PREPAID * 0.05))
+    for client in routers.client_by_name.values():
+        client._book._started_at = client._book._clock.instant()
     return routers
 
 
@@ -77,6 +80,13 @@
         routers.pump(0.05)
 
 
+def test_router_that_has_run_for_a_while_uses_all_at_once():
+    routers = routers_near_the_end()
+    routers.pump(defaults.GRANT_RATION_AGE_S + 1.0)
+    served = seconds_of_service(routers, until_s=20.0)
+    assert len(served) < SPAN_S
+
+
 def test_top_up_lifts_the_ration():
     routers = routers_near_the_end()
     seconds_of_service(routers, until_s=8.0)
