Read back a router's own strikes after a restart

Cause: records of the own router were skipped, so a router that started again forgot which contents crash targets and ran them once more (502). An own record with strikes that the process does not know is of an earlier process on the VM: it counts, and is deleted when it expires.

--- a/chicorystack/gateway/crashes.py
+++ b/chicorystack/gateway/crashes.py
@@ -137,9 +137,7 @@
         """
         self._unpublished.add(content)
         if self._strikes.messages(content):
-            self._clock.callLater(
-                defaults.QUARANTINE_S + 1.0, self.publish, content
-            )
+            self._schedule_deletion(content)
         if not self._publishing:
             self._publishing = True
             publishing = defer.ensureDeferred(self._publish_all())
@@ -171,19 +169,35 @@
 
     def _apply_update(self, update: Update) -> None:
         for record in update.records:
-            content, _, router = record.key.rpartition("/")
-            if router == self._router or not record.value:
-                continue
-            try:
-                changed = self._strikes.merge(_decoder.decode(record.value))
-            except msgspec.DecodeError as error:
-                emit("crashes", "unreadable", reason=str(error))
-                continue
-            if changed:
-                emit(
-                    "crashes", "told", content=content, router=router,
-                    strikes=self._strikes.count(content),
-                )  # fmt: skip
+            if record.value:
+                self._apply_record(record)
+
+    def _apply_record(self, record: KeyedRecord) -> None:
+        """Merges the strikes that a router has published.
+
+        An own record that holds unknown strikes is of an earlier process on
+        this VM, which can no longer delete it.
+        """
+        content, _, router = record.key.rpartition("/")
+        try:
+            changed = self._strikes.merge(_decoder.decode(record.value))
+        except msgspec.DecodeError as error:
+            emit("crashes", "unreadable", reason=str(error))
+            return
+        if not changed:
+            return
+        emit(
+            "crashes", "told", content=content, router=router,
+            strikes=self._strikes.count(content),
+        )  # fmt: skip
+        if router == self._router:
+            self._schedule_deletion(content)
+
+    def _schedule_deletion(self, content: str) -> None:
+        """Publishes a request's strikes again once they have expired."""
+        self._clock.callLater(
+            defaults.QUARANTINE_S + 1.0, self.publish, content
+        )
 
 
 def _log_publish_failure(failure) -> None:
--- a/tests/gateway/test_crashes.py
+++ b/tests/gateway/test_crashes.py
@@ -104,6 +104,31 @@
     assert late_router.strikes.count("poison") == LIMIT
 
 
+def test_restarted_router_reads_back_its_own_strikes(fleet):
+    for number in range(LIMIT):
+        fleet.first.crash(f"i-{number}", "poison")
+    fleet.pump(1.0)
+    fleet.first.replicator._follower.stop()
+    fleet.second.replicator._follower.stop()
+    successor = Router(fleet.clock, fleet.log, "front-1")
+    fleet.pump(1.0)
+    with pytest.raises(ApiError, match="crashed"):
+        successor.strikes.check("poison")
+
+
+def test_restarted_router_deletes_its_predecessors_records(fleet):
+    fleet.first.crash("i-1", "poison")
+    fleet.pump(0.5)
+    partition = fleet.first.replicator._partition
+    log = FakeLog(fleet.clock)
+    log.records[partition] += fleet.log.records[partition]
+    Router(fleet.clock, log, "front-1")
+    fleet.pump(0.5)
+    fleet.clock.advance(defaults.QUARANTINE_S + 2.0)
+    fleet.pump(0.5)
+    assert not log.records[partition][-1].value
+
+
 def test_record_is_deleted_once_its_strikes_expire(fleet):
     fleet.first.crash("i-1", "poison")
     fleet.pump(0.5)
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -375,3 +375,12 @@
             assert b"quarantined" in reply.body
             assert get(router, "/status/1", f"good-{router}").status == 200
         assert count_running() == running
+        fleet.signal("router-2", signal.SIGTERM)
+        wait_until(
+            "router-2 has stopped", lambda: not fleet.is_running("router-2")
+        )
+        fleet.start_router("router-2")
+        fleet.wait_until_ready()
+        reply = get("router-2", "/status/poison", "after-restart")
+        assert reply.status == 503
+        assert b"quarantined" in reply.body
