Heed leaving and overloaded targets, and cut off responses without end

TargetNotices remembers both requests by incarnation and the pool passes such targets by; where all are paused, callers are told when to return. Buffered bodies, events and replies of the store have a size limit, the latter a total time too. A stream makes progress by its events: one byte now and then no longer keeps it from being resumed elsewhere.

--- a/bench/platform_fleet.py
+++ b/bench/platform_fleet.py
@@ -255,6 +255,12 @@
         """Returns whether a process is running."""
         return self.process_by_name[name].poll() is None
 
+    def resident_bytes(self, name: str) -> int:
+        """Returns the resident memory of a process."""
+        pid = self.process_by_name[name].pid
+        resident_pages = int(Path(f"/proc/{pid}/statm").read_text().split()[1])
+        return resident_pages * os.sysconf("SC_PAGE_SIZE")
+
     def signal(self, name: str, number: int) -> None:
         """Sends a signal to a process."""
         self.process_by_name[name].send_signal(number)
--- a/chicorystack/defaults.py
+++ b/chicorystack/defaults.py
@@ -225,6 +225,13 @@
 KEEP_ALIVE_FRACTION = 0.7
 IDLE_CONNECTIONS_PER_PEER = 64
 
+# Most bytes of a response that is buffered, and of one event of a stream.
+MAX_BUFFERED_RESPONSE_BYTES = 8 * 1024 * 1024
+MAX_EVENT_BYTES = 256 * 1024
+# Longest time for, and most bytes of, a response from the store or a router.
+FETCH_MAX_S = 10.0
+FETCH_MAX_BYTES = 16 * 1024 * 1024
+
 # Events on standard output.
 EVENT_LINES_PER_S = 400
 EVENT_BUFFER_MAX_BYTES = 1_000_000
@@ -249,6 +256,10 @@
 # Targets of the gateway.
 # Time after the store's recovery in which live targets can register again.
 REREGISTRATION_GRACE_S = 2.0
+# Longest time for which a target can ask for no calls.
+TARGET_PAUSE_MAX_S = 3_600.0
+# Number of incarnations whose requests for no calls are remembered.
+MAX_TARGET_NOTICES = 1_024
 
 # Grants of prepaid tokens.
 # Outage of the store that a grant should cover.
--- a/chicorystack/gateway/attempt.py
+++ b/chicorystack/gateway/attempt.py
@@ -122,8 +122,9 @@
 
     Attributes:
         done: Whether the attempt has ended.
-        last_byte_at: Clock time of the last byte received, in seconds; that of
-            the attempt's creation before the first byte.
+        last_progress_at: Clock time in seconds at which the response last made
+            progress: its head, an event of a stream, or any byte of another
+            body. That of the attempt's creation before.
         ended: Fires with the AttemptResult.
     """
 
@@ -144,10 +145,11 @@
         self._head: ResponseHead | None = None
         self._splitter: EventSplitter | None = None
         self._body: list[bytes] = []
+        self._body_bytes = 0
         self._first_byte_at = 0.0
         self._events_before = progress.stream.events
         self.done = False
-        self.last_byte_at = clock.seconds()
+        self.last_progress_at = clock.seconds()
         self.ended: defer.Deferred[AttemptResult] = defer.Deferred()
 
     @property
@@ -173,7 +175,7 @@
 
     def head_received(self, status: int, headers: Headers) -> None:
         """See ResponseReceiver."""
-        self._first_byte_at = self.last_byte_at = self._clock.seconds()
+        self._first_byte_at = self.last_progress_at = self._clock.seconds()
         self._head = head = self._codec.decode_head(status, headers)
         self._on_head(head)
         rejection = _rejection_reason(head, self._call)
@@ -184,11 +186,10 @@
 
     def data_received(self, data: bytes) -> None:
         """See ResponseReceiver."""
-        self.last_byte_at = self._clock.seconds()
         if self.done:
             return
         if self._splitter is None:
-            self._body.append(data)
+            self._buffer(data)
             return
         try:
             self._forward_events(data)
@@ -214,6 +215,13 @@
             return self._end_stream()
         return self._end_buffered()
 
+    def _buffer(self, data: bytes) -> None:
+        self._body.append(data)
+        self._body_bytes += len(data)
+        self.last_progress_at = self._clock.seconds()
+        if self._body_bytes > defaults.MAX_BUFFERED_RESPONSE_BYTES:
+            self.stop(AttemptOutcome.BROKEN, "the response is too large")
+
     def _forward_events(self, data: bytes) -> None:
         stream = self._progress.stream
         new_events = [
@@ -221,7 +229,11 @@
             for event in self._splitter.feed(data)
             if stream.accept(event)
         ]
+        if len(self._splitter.incomplete) > defaults.MAX_EVENT_BYTES:
+            self.stop(AttemptOutcome.BROKEN, "an event is too large")
+            return
         if new_events:
+            self.last_progress_at = self._clock.seconds()
             self._progress.start(self._head)
             self._progress.writer.send(b"".join(new_events))
 
@@ -294,7 +306,7 @@
 
 
 class StallDetector:
-    """Aborts an attempt whose target sends nothing for too long.
+    """Aborts an attempt whose response makes no progress for too long.
 
     The limit is a multiple of the route's response time objective; once events
     have been sent, of its objective for gaps between events, if it has one.
@@ -327,7 +339,9 @@
             if self._attempt.has_sent_events
             else self._first_limit_s
         )
-        left_s = self._attempt.last_byte_at + allowed_s - self._clock.seconds()
+        left_s = (
+            self._attempt.last_progress_at + allowed_s - self._clock.seconds()
+        )
         if left_s <= 0:
             self._attempt.stop(AttemptOutcome.BROKEN, "the target stalled")
             return
--- a/chicorystack/gateway/call_run.py
+++ b/chicorystack/gateway/call_run.py
@@ -106,11 +106,13 @@
                 return result
 
     def _no_target_refusal(self) -> Refusal:
+        delay_s = random.uniform(*defaults.NO_TARGET_RETRY_RANGE_S)
+        pause_left_s = self._pool.pause_left_s(self._call.service)
         return Refusal(
             503,
             "no_target",
             f"no target of service {self._call.service} accepts calls",
-            random.uniform(*defaults.NO_TARGET_RETRY_RANGE_S),
+            delay_s + (pause_left_s or 0.0),
         )
 
     async def _attempt_one(self, target: TargetEntry) -> AttemptResult:
@@ -121,7 +123,7 @@
             self._call,
             self._codec,
             self._progress,
-            lambda head: self._pool.record_load(target, head),
+            lambda head: self._pool.record_head(target, head),
         )
         self._attempt = attempt
         self._pool.record_start(target)
--- a/chicorystack/gateway/loan_http.py
+++ b/chicorystack/gateway/loan_http.py
@@ -24,6 +24,7 @@
     Address,
     ConnectionPool,
     ExchangeError,
+    FetchLimits,
     HttpRequest,
     fetch,
 )
@@ -115,8 +116,7 @@
                 self._reactor,
                 self._connection_pool(address),
                 request,
-                defaults.LOAN_TIMEOUT_S,
-                defaults.LOAN_TIMEOUT_S,
+                FetchLimits(defaults.LOAN_TIMEOUT_S, defaults.LOAN_TIMEOUT_S),
             )
             return msgspec.json.decode(response.body, type=response_type)
         except ExchangeError as error:
--- a/chicorystack/gateway/messages.py
+++ b/chicorystack/gateway/messages.py
@@ -123,6 +123,11 @@
             by a proxy.
         closes_connection: Whether the target will close the connection.
         load: The target's load; None if not reported.
+        misdirected: Whether another target than the expected one responded,
+            without running the request.
+        leaving: Whether the target is about to leave.
+        retry_after_s: For how long the target wants no requests from this
+            router, in seconds; None if not stated.
     """
 
     status: int
@@ -134,6 +139,9 @@
     encoded: bool
     closes_connection: bool
     load: LoadSample | None
+    misdirected: bool = False
+    leaving: bool = False
+    retry_after_s: float | None = None
 
 
 class Refusal(NamedTuple):
--- a/chicorystack/gateway/target_pool.py
+++ b/chicorystack/gateway/target_pool.py
@@ -8,6 +8,7 @@
 from chicorystack.gateway.loads import TargetLoads
 from chicorystack.gateway.messages import Call, ResponseHead
 from chicorystack.gateway.placement import PlacementPolicy
+from chicorystack.gateway.target_notices import TargetNotices
 from chicorystack.gateway.targets import TargetEntry, TargetRegistry
 from chicorystack.observe.events import emit
 from chicorystack.routing.health import HealthTable
@@ -40,6 +41,7 @@
         # Incarnations that are being probed because a connection broke.
         self._probing: set[tuple[str, int]] = set()
         self._health = HealthTable(reactor)
+        self._notices = TargetNotices(reactor)
         self._pool_by_incarnation: dict[tuple[str, int], ConnectionPool] = {}
         self.loads = loads
         registry.on_removed(self._remove)
@@ -54,6 +56,19 @@
         """Returns whether there is a target that has not been tried."""
         return bool(self._candidates(call, tried))
 
+    def pause_left_s(self, service: str) -> float | None:
+        """Returns when a service's targets want calls again.
+
+        Returns:
+            The shortest remaining pause of a target, in seconds; None if no
+            target is paused.
+        """
+        pauses_s = [
+            self._notices.pause_left_s(entry)
+            for entry in self._registry.ready_targets(service)
+        ]
+        return min(filter(None, pauses_s), default=None)
+
     async def connect(self, call: Call, target: TargetEntry) -> HttpConnection:
         """Returns a connection to a target.
 
@@ -86,8 +101,9 @@
         """Counts the end of a call on a target."""
         self.loads.record_end(target.id)
 
-    def record_load(self, target: TargetEntry, head: ResponseHead) -> None:
-        """Records the load in a response's head, if reported there."""
+    def record_head(self, target: TargetEntry, head: ResponseHead) -> None:
+        """Records what a response's head says about its target."""
+        self._notices.record(target, head)
         if head.load is not None:
             self.loads.record_sample(target.id, head.load)
 
@@ -148,12 +164,12 @@
     def _candidates(self, call: Call, tried: set[str]) -> list[TargetEntry]:
         """Returns the untried targets whose health admits another call.
 
-        If it admits none, all untried targets are returned.
+        If it admits none, all are returned that accept calls.
         """
         ready = [
             entry
             for entry in self._registry.ready_targets(call.service)
-            if entry.id not in tried
+            if entry.id not in tried and self._notices.accepts_calls(entry)
         ]
         admitted = [e for e in ready if self._is_admitted(e)]
         return admitted or ready
--- a/chicorystack/platform/headers.py
+++ b/chicorystack/platform/headers.py
@@ -1,7 +1,9 @@
 """Codecs between the platform's HTTP headers and the gateway's messages."""
 
+import math
 import re
 
+from chicorystack import defaults
 from chicorystack.gateway.caller_http import RawRequest
 from chicorystack.gateway.messages import (
     Call,
@@ -27,8 +29,11 @@
 SIGNATURE = b"x-chicorystack-response-seal"
 NOT_RUN = b"x-chicorystack-not-executed"
 LOAD = b"x-chicorystack-engine-load"
+LEAVING = b"server-leaving"
+RETRY_AFTER = b"retry-after"
 LOWEST_PRIORITY = 9
 MISDIRECTED_STATUS = 421
+OVERLOADED_STATUS = 503
 
 # Headers that only this system may set; they are removed from callers'
 # requests.
@@ -147,6 +152,11 @@
             closes_connection=b"close"
             in value_by_name.get(b"connection", b"").lower(),
             load=_decode_load(value_by_name.get(LOAD)),
+            misdirected=status == MISDIRECTED_STATUS,
+            leaving=_decode_text(value_by_name.get(LEAVING)) == "1",
+            retry_after_s=_decode_retry_after_s(
+                status, value_by_name.get(RETRY_AFTER)
+            ),
         )
 
 
@@ -213,6 +223,22 @@
     return tuple(parts)
 
 
+def _decode_retry_after_s(status: int, value: bytes | None) -> float | None:
+    """Returns for how long an overloaded target wants no requests.
+
+    A value that is not a number of seconds is ignored, as is a negative one.
+    """
+    if status != OVERLOADED_STATUS or value is None:
+        return None
+    try:
+        seconds = float(value)
+    except ValueError:
+        return None
+    if not 0 < seconds < math.inf:
+        return None
+    return min(seconds, defaults.TARGET_PAUSE_MAX_S)
+
+
 def _decode_load(value: bytes | None) -> LoadSample | None:
     fields = [item.strip() for item in (value or b"").split(b",")]
     if len(fields) != 3 or not all(map(bytes.isdigit, fields)):
--- a/chicorystack/platform/standin/engine.py
+++ b/chicorystack/platform/standin/engine.py
@@ -6,11 +6,14 @@
 
 import msgspec
 from twisted.internet import defer, task
+from twisted.internet.interfaces import IPullProducer
 from twisted.web import resource, server
+from zope.interface import implementer
 
 TOKENS_PER_EVENT = 4
 EVENT_INTERVAL_S = 0.01
 PLAIN_DURATION_S = 0.02
+FILLER = b"x" * 65_536
 SIGNATURE = b"3e1b.07.5a2.600.0.c9f2a4d1"
 
 
@@ -28,6 +31,10 @@
         fail: Whether it responds to plain requests with status 500.
         silent: Whether it sends no response.
         surplus: Whether surplus bytes follow a complete response.
+        leaving: Whether its responses state that it is leaving.
+        retry_after: Value of Retry-After in rejections; empty for none.
+        endless: Where it sends bytes without end: `head` or `body`; empty for
+            nowhere.
         crash_on: Text; a request whose path contains it ends the process.
             Empty for none.
     """
@@ -40,6 +47,9 @@
     fail: bool = False
     silent: bool = False
     surplus: bool = False
+    leaving: bool = False
+    retry_after: str = ""
+    endless: str = ""
     crash_on: str = ""
 
 
@@ -51,6 +61,7 @@
         tokens: Prompt tokens of new streams, and tokens generated.
         runs_by_id: Runs by request ID.
         seen: Headers of the last request.
+        requests: Requests received.
         gone: Requests whose client disconnected while they ran.
     """
 
@@ -59,6 +70,7 @@
     runs_by_id: dict[str, int] = {}
     seen: dict[str, str] = {}
     gone: int = 0
+    requests: int = 0
 
 
 class EngineResource(resource.Resource):
@@ -87,6 +99,7 @@
         return self._serve_call(request)
 
     def _serve_call(self, request: server.Request) -> bytes | int:
+        self._counts.requests += 1
         self._counts.seen = {
             name.decode().lower(): values[-1].decode("latin-1")
             for name, values in request.requestHeaders.getAllRawHeaders()
@@ -101,9 +114,14 @@
         if faults.shed:
             request.setResponseCode(503)
             request.setHeader("X-Chicorystack-Not-Executed", "1")
+            if faults.retry_after:
+                request.setHeader("Retry-After", faults.retry_after)
             return b""
         if faults.silent:
             return server.NOT_DONE_YET
+        if faults.endless:
+            _EndlessResponse(request).start(faults.endless)
+            return server.NOT_DONE_YET
         self._counts.runs += 1
         self._runs_by_id[_request_id(request)] += 1
         if faults.crash_on and faults.crash_on.encode() in request.path:
@@ -128,6 +146,8 @@
         request_id = "0" * 16 if faults.foreign else _request_id(request)
         request.setHeader("X-Chicorystack-Request-Attempt-Id", request_id)
         request.setHeader("X-Chicorystack-Engine-Load", f"{self._running},0,8")
+        if faults.leaving:
+            request.setHeader("Server-Leaving", "1")
         if not faults.unsigned:
             request.setHeader("X-Chicorystack-Response-Seal", SIGNATURE)
 
@@ -173,5 +193,27 @@
         request.finish()
 
 
+@implementer(IPullProducer)
+class _EndlessResponse:
+    """Sends bytes until the client closes the connection."""
+
+    def __init__(self, request: server.Request):
+        self._transport = request.channel.transport
+
+    def start(self, where: str) -> None:
+        """Starts in the head or the body of a response."""
+        end = b"\r\n" if where == "body" else b""
+        self._transport.unregisterProducer()
+        self._transport.write(b"HTTP/1.1 200 OK\r\nX-Filler: " + end + end)
+        self._transport.registerProducer(self, False)
+
+    def resumeProducing(self) -> None:
+        """Sends more bytes each time the client has taken the last ones."""
+        self._transport.write(FILLER)
+
+    def stopProducing(self) -> None:
+        """Does nothing: nothing is sent after the connection is lost."""
+
+
 def _request_id(request: server.Request) -> str:
     return request.getHeader("X-Chicorystack-Request-Attempt-Id") or ""
--- a/chicorystack/platform/store.py
+++ b/chicorystack/platform/store.py
@@ -22,6 +22,7 @@
     Address,
     ConnectionPool,
     ExchangeError,
+    FetchLimits,
     HttpRequest,
     HttpResponse,
     fetch,
@@ -189,8 +190,7 @@
                 self._reactor,
                 self._pool,
                 request,
-                timeout_s,
-                defaults.STORE_IDLE_TIMEOUT_S,
+                FetchLimits(timeout_s, defaults.STORE_IDLE_TIMEOUT_S),
             )
         except ExchangeError as error:
             self._timeout.record_failure()
--- a/chicorystack/web/exchange.py
+++ b/chicorystack/web/exchange.py
@@ -333,82 +333,97 @@
     body: bytes
 
 
+class FetchLimits(NamedTuple):
+    """How long a response may take.
+
+    FETCH_MAX_S and FETCH_MAX_BYTES limit the whole response.
+
+    Attributes:
+        first_byte_timeout_s: Longest time until the head, in seconds.
+        idle_timeout_s: Longest time without a byte after that, in seconds; a
+            large response may take longer over a slow link.
+    """
+
+    first_byte_timeout_s: float
+    idle_timeout_s: float
+
+
 class _ResponseCollector:
-    """Buffers the response of one exchange.
+    """Buffers the response of one exchange, within limits of size and time.
 
     Attributes:
         done: Fires with the HttpResponse; fails with ExchangeError.
-        has_head: Whether the head of the response has arrived.
-        last_byte_at: Clock time of the last bytes received, or of the start,
-            in seconds.
     """
 
-    def __init__(self, clock):
+    def __init__(self, clock, connection: HttpConnection, limits: FetchLimits):
         self._clock = clock
-        self.has_head = False
-        self.last_byte_at = clock.seconds()
+        self._connection = connection
+        self._limits = limits
         self.done: defer.Deferred[HttpResponse] = defer.Deferred()
         self._status = 0
         self._headers: Headers = []
         self._body: list[bytes] = []
+        self._body_bytes = 0
+        self._end_by = clock.seconds() + defaults.FETCH_MAX_S
+        self._next_byte_by = clock.seconds() + limits.first_byte_timeout_s
+        self._timer = clock.callLater(
+            limits.first_byte_timeout_s, self._check_timeout
+        )
 
     def head_received(self, status: int, headers: Headers) -> None:
-        self.has_head = True
-        self.last_byte_at = self._clock.seconds()
+        self._extend_deadline()
         self._status, self._headers = status, headers
 
     def data_received(self, data: bytes) -> None:
-        self.last_byte_at = self._clock.seconds()
+        self._extend_deadline()
         self._body.append(data)
+        self._body_bytes += len(data)
+        if self._body_bytes > defaults.FETCH_MAX_BYTES:
+            self._abort("the response is too large")
 
     def exchange_ended(self, failure: ExchangeError | None) -> None:
         if self.done.called:
             return
+        self.stop_timer()
         if failure is not None:
             self.done.errback(failure)
             return
         body = b"".join(self._body)
         self.done.callback(HttpResponse(self._status, self._headers, body))
 
+    def stop_timer(self) -> None:
+        """Cancels the timer."""
+        if self._timer.active():
+            self._timer.cancel()
+
+    def _extend_deadline(self) -> None:
+        idle_until = self._clock.seconds() + self._limits.idle_timeout_s
+        self._next_byte_by = min(idle_until, self._end_by)
+
+    def _check_timeout(self) -> None:
+        left_s = self._next_byte_by - self._clock.seconds()
+        if left_s > 0:
+            self._timer = self._clock.callLater(left_s, self._check_timeout)
+            return
+        self._abort("no answer in time")
+
+    def _abort(self, reason: str) -> None:
+        self._connection.abort()
+        self.exchange_ended(ExchangeError(reason, sent=True))
+
 
 async def fetch(
-    reactor,
-    pool: ConnectionPool,
-    request: HttpRequest,
-    first_byte_timeout_s: float,
-    idle_timeout_s: float,
+    reactor, pool: ConnectionPool, request: HttpRequest, limits: FetchLimits
 ) -> HttpResponse:
     """Sends a request and returns the complete response.
 
-    Args:
-        reactor: The reactor.
-        pool: Connections to the peer.
-        request: The request.
-        first_byte_timeout_s: Maximum time until the head of the response.
-        idle_timeout_s: Maximum time without a byte after that. The total time
-            is not limited, as a large response may arrive over a slow link.
-
     Raises:
-        ExchangeError: If a timeout expired or the connection was lost.
+        ExchangeError: If a limit was exceeded or the connection was lost.
     """
     connection = await pool.acquire()
-    collector = _ResponseCollector(reactor)
+    collector = _ResponseCollector(reactor, connection, limits)
     connection.send_request(request, collector)
-
-    def check_timeout() -> None:
-        timeout_s = (
-            idle_timeout_s if collector.has_head else first_byte_timeout_s
-        )
-        left_s = collector.last_byte_at + timeout_s - reactor.seconds()
-        if left_s > 0:
-            timers.append(reactor.callLater(left_s, check_timeout))
-            return
-        connection.abort()
-        collector.exchange_ended(ExchangeError("no answer in time", sent=True))
-
-    timers = [reactor.callLater(first_byte_timeout_s, check_timeout)]
     try:
         return await collector.done
     finally:
-        if timers[-1].active():
-            timers[-1].cancel()
+        collector.stop_timer()
--- a/tests/gateway/test_call_run.py
+++ b/tests/gateway/test_call_run.py
@@ -67,7 +67,10 @@
             raise ExchangeError("refused", sent=False)
         return FakeConnection()
 
-    def record_load(self, target, head):
+    def pause_left_s(self, _service):
+        return None
+
+    def record_head(self, target, head):
         """Does nothing."""
 
     def record_start(self, target):
--- a/tests/web/test_exchange.py
+++ b/tests/web/test_exchange.py
@@ -5,7 +5,12 @@
 from twisted.internet.testing import StringTransport
 from twisted.python.failure import Failure
 
-from chicorystack.web.exchange import HttpConnection, HttpRequest, fetch
+from chicorystack.web.exchange import (
+    FetchLimits,
+    HttpConnection,
+    HttpRequest,
+    fetch,
+)
 
 GET = HttpRequest(b"GET", b"/x", [(b"host", b"h")])
 COMPLETE = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
@@ -190,8 +195,7 @@
             clock,
             FakePool(peer),
             GET,
-            first_byte_timeout_s=0.2,
-            idle_timeout_s=0.5,
+            FetchLimits(first_byte_timeout_s=0.2, idle_timeout_s=0.5),
         )
     )
     running.addCallbacks(responses.append, failures.append)
