Recover from a store that comes back from an older copy

Followers went on from their old offset and mixed two histories; grants that others had raised since the copy were given away a second time; a target that had left came back with its old entry.

Followers read all records of a new era. The ledger of grants keeps what it had read until the routers have written again, writes it again for those that have not done so after 1.5 s, and no grant is raised in the first 4 s. Removed targets return only with a newer entry.

--- a/bench/platform_fleet.py
+++ b/bench/platform_fleet.py
@@ -187,6 +187,10 @@
         """Writes a configuration to the store, as the operator does."""
         self.put_record("keyed.op", "config", json.dumps(config))
 
+    def restore_store(self, age_s: float) -> None:
+        """Lets the store return to a copy of its contents of that age."""
+        send(self.store_port, "POST", "/standin/restore", {"age_s": age_s})
+
     def set_store_faults(self, **faults: str) -> None:
         """Sets the faults that the store injects; clears all others."""
         send(self.store_port, "POST", "/standin/faults", faults)
--- a/chicorystack/budget/grant_account.py
+++ b/chicorystack/budget/grant_account.py
@@ -197,6 +197,17 @@
         """
         self._pending_terms = terms
 
+    def is_news(self, terms: GrantTerms) -> bool:
+        """Returns whether terms in the log differ from the known ones.
+
+        A store that has come back from an older copy has older terms.
+        """
+        if self.terms is None:
+            return True
+        age_s = self.terms.written_at.seconds_since(terms.written_at)
+        is_older = age_s is not None and age_s > 0
+        return terms != self.terms and not is_older
+
     def set_terms(self, terms: GrantTerms) -> None:
         """Sets the terms that have been seen in the log."""
         require(
--- a/chicorystack/budget/grant_partition.py
+++ b/chicorystack/budget/grant_partition.py
@@ -58,6 +58,7 @@
         self._borrower = borrower
         self._router_count = router_count
         self._ledger = GrantLedger()
+        self._era = 0
         self._customers: list[str] = []
         self._queue = GrantQueue(grants)
         # Customers for whose waiting calls a search for loans is in progress.
@@ -160,9 +161,12 @@
 
     async def _run_step(self) -> bool:
         """Reads if necessary, then writes; returns whether to do so again."""
+        self._note_era()
         try:
             if self._ledger.end is None or self._stale:
                 await self._read_log()
+                if self._ledger.end is None:
+                    return True
             return await self._append_records()
         except ConflictError:
             # An unacknowledged append, if any, has now failed or taken effect;
@@ -177,6 +181,24 @@
         await task.deferLater(self._clock, delay_s)
         return True
 
+    def _note_era(self) -> bool:
+        """Notes the store's era; returns whether a new one has begun.
+
+        All that has been read is then of the past: the partition is read again
+        from its newest records.
+        """
+        before, self._era = self._era, self._log.era
+        if before in (0, self._era):
+            return False
+        emit(
+            "budget", "new_era", partition=self._partition.number,
+            before=before, now=self._era, end=self._ledger.end,
+        )  # fmt: skip
+        self._unconfirmed = None
+        self._ledger.enter_era()
+        self._grants.enter_era()
+        return True
+
     def _conflict_delay_s(self) -> float:
         """Returns the longest delay after another router's append came first.
 
@@ -190,10 +212,14 @@
     async def _read_log(self) -> None:
         if self._ledger.end is None:
             found = await self._log.read_newest(self._partition)
+            if self._note_era():
+                return
             self._ledger.load(found.records, found.end)
         else:
             start = self._ledger.end
             found = await self._log.read(self._partition, start, 0.0)
+            if self._note_era():
+                return
             self._ledger.apply(found.records, found.end)
         self._stale = False
         self._read_in_review = True
@@ -217,6 +243,8 @@
                 self._unconfirmed = append
             raise
         self._unconfirmed = None
+        if self._note_era():
+            return True
         self._stale = False
         self._read_in_review = True
         self._handle_success()
--- a/chicorystack/budget/grant_records.py
+++ b/chicorystack/budget/grant_records.py
@@ -5,6 +5,7 @@
 """
 
 import math
+from collections.abc import Iterator
 from typing import NamedTuple, NotRequired, Protocol, TypedDict
 
 import msgspec
@@ -123,33 +124,90 @@
     return f"{customer}{KEY_SEPARATOR}{router}"
 
 
+def split_key(key: str) -> tuple[str, str]:
+    """Returns the customer and the router of a log key."""
+    customer, _, router = key.rpartition(KEY_SEPARATOR)
+    return customer, router
+
+
+def _promised(record: GrantRecord) -> int:
+    """Returns the tokens that a router holds, or that are lost with it."""
+    return record["terms"].granted + record.get("lost", 0)
+
+
 class GrantLedger:
     """The grants of all routers in one partition, as read so far.
 
+    If the store comes back from an older copy, records that were read before
+    still count until their routers have written again: the tokens may be in
+    use.
+
     Attributes:
         end: Offset after the last record read; None before the first read.
     """
 
     def __init__(self):
         self._by_customer: dict[str, dict[str, GrantRecord]] = {}
+        # Records read in earlier eras whose keys have not been written since.
+        self._earlier_by_key: dict[str, GrantRecord] = {}
+        # End of the partition when it was first read in this era.
+        self._era_start: int | None = None
         self.end: int | None = None
 
+    def enter_era(self) -> None:
+        """Prepares to read a store that has come back from an older copy."""
+        for customer, holders in self._by_customer.items():
+            for router, record in holders.items():
+                self._earlier_by_key[record_key(customer, router)] = record
+        self._era_start = None
+        self.end = None
+
     def load(self, records: list[KeyedRecord], end: int) -> None:
         """Replaces the contents with the newest record of each key."""
+        if self._era_start is None:
+            self._era_start = end
+        for record in records:
+            if record.offset >= self._era_start:
+                self._earlier_by_key.pop(record.key, None)
         self._by_customer = {}
-        self.apply(records, end)
+        for record in records:
+            self._store(record)
+        self.end = end
 
     def apply(self, records: list[KeyedRecord], end: int) -> None:
         """Applies further records, in log order."""
         for record in records:
-            customer, _, router = record.key.rpartition(KEY_SEPARATOR)
-            holders = self._by_customer.setdefault(customer, {})
-            if record.value:
-                holders[router] = _decoder.decode(record.value)
-            else:
-                holders.pop(router, None)
+            self._earlier_by_key.pop(record.key, None)
+            self._store(record)
         self.end = end
 
+    def _store(self, record: KeyedRecord) -> None:
+        customer, router = split_key(record.key)
+        holders = self._by_customer.setdefault(customer, {})
+        if record.value:
+            holders[router] = _decoder.decode(record.value)
+        else:
+            holders.pop(router, None)
+
+    def lost_records(self) -> Iterator[KeyedRecord]:
+        """Yields records of earlier eras that promise more than the log's."""
+        for key, earlier in self._earlier_by_key.items():
+            record = self.record(*split_key(key))
+            if record is None or _promised(record) < _promised(earlier):
+                yield KeyedRecord(key, msgspec.json.encode(earlier))
+
+    def _records_of(self, customer: str) -> dict[str, GrantRecord]:
+        """Returns the records by router; of two eras, the one with more."""
+        records = dict(self._by_customer.get(customer, {}))
+        for key, earlier in self._earlier_by_key.items():
+            owner, router = split_key(key)
+            if owner != customer:
+                continue
+            record = records.get(router)
+            if record is None or _promised(record) < _promised(earlier):
+                records[router] = earlier
+        return records
+
     def record(self, customer: str, router: str) -> GrantRecord | None:
         """Returns a router's grant record for a customer, if there is one."""
         return self._by_customer.get(customer, {}).get(router)
@@ -157,8 +215,8 @@
     def committed(self, customer: str, except_router: str = "") -> int:
         """Returns the tokens granted or lost, not counting `except_router`."""
         return sum(
-            record["terms"].granted + record.get("lost", 0)
-            for router, record in self._by_customer.get(customer, {}).items()
+            _promised(record)
+            for router, record in self._records_of(customer).items()
             if router != except_router
         )
 
@@ -166,20 +224,20 @@
         """Returns the tokens in use or lost, as of each newest record."""
         return sum(
             record["terms"].in_use + record.get("lost", 0)
-            for record in self._by_customer.get(customer, {}).values()
+            for record in self._records_of(customer).values()
         )
 
     def needed(self, customer: str, except_router: str) -> int:
         """Returns the sum of the headroom that other routers need."""
         return sum(
             record["need"]
-            for router, record in self._by_customer.get(customer, {}).items()
+            for router, record in self._records_of(customer).items()
             if router != except_router
         )
 
     def spent(self, customer: str) -> int:
         """Returns the tokens that are reported as used."""
-        records = self._by_customer.get(customer, {}).values()
+        records = self._records_of(customer).values()
         return sum(
             record["spent"] + record.get("lost_spent", 0) for record in records
         )
--- a/chicorystack/budget/grants.py
+++ b/chicorystack/budget/grants.py
@@ -28,7 +28,9 @@
     GrantRecord,
     GrantTerms,
     Holder,
+    Instant,
     record_key,
+    split_key,
 )
 from chicorystack.store.keyed_log import KeyedRecord
 
@@ -49,6 +51,9 @@
         self._clock = clock
         # Earlier processes on this VM have used no tokens since then.
         self._started_at = clock.instant()
+        self._era_began_at: Instant | None = None
+        # Processes that wrote this router's records before this one did.
+        self._predecessors: set[str] = set()
         self.closing = False
         self.account_by_customer: dict[str, Account] = {}
         self.superseded = False
@@ -57,6 +62,14 @@
         """From now on, holds no tokens beyond those in use."""
         self.closing = True
 
+    def enter_era(self) -> None:
+        """Raises no grant for some time, as others' records may be missing.
+
+        The store has come back from an older copy; each router first writes
+        again what it holds.
+        """
+        self._era_began_at = self._clock.instant()
+
     def set_prepaid(self, prepaid_by_customer: dict[str, int]) -> None:
         """Updates the prepaid tokens of customers."""
         for customer, prepaid in prepaid_by_customer.items():
@@ -84,9 +97,11 @@
             if record is None:
                 continue
             if record["process"] == self._holder.process:
-                if record["terms"] != account.terms:
+                if account.is_news(record["terms"]):
                     account.set_terms(record["terms"])
-            elif account.terms is not None:
+            elif account.terms is None:
+                self._predecessors.add(record["process"])
+            elif record["process"] not in self._predecessors:
                 # A later process of this VM has written its own record.
                 self.superseded = True
 
@@ -106,13 +121,29 @@
             record = self._due_record(ledger, customer, router_count)
             if record is not None:
                 yield record
+        if self._era_age_s() >= defaults.GRANT_RESTORE_DELAY_S:
+            yield from self._others_records(ledger)
+
+    def _others_records(self, ledger: GrantLedger) -> Iterator[KeyedRecord]:
+        """Yields what routers that have not written again may still use."""
+        for record in ledger.lost_records():
+            _, router = split_key(record.key)
+            if router != self._holder.router:
+                yield record
+
+    def _era_age_s(self) -> float:
+        """Returns the seconds since the store came back; -1 if it never did."""
+        if self._era_began_at is None:
+            return -1.0
+        return self._clock.instant().seconds_since(self._era_began_at) or 0.0
 
     def _due_record(
         self, ledger: GrantLedger, customer: str, router_count: int
     ) -> KeyedRecord | None:
         account = self.account_by_customer[customer]
         router = self._holder.router
-        lost, lost_spent = self._lost_tokens(ledger.record(customer, router))
+        own = ledger.record(customer, router)
+        lost, lost_spent = self._lost_tokens(own)
         available = account.prepaid - lost - ledger.committed(customer, router)
         need = 0 if self.closing else account.needed_headroom(router_count)
         headroom = _allowed_headroom(account, ledger, customer, router, need)
@@ -120,10 +151,17 @@
         requested = max(0, account.wanted + headroom - account.unused_borrowed)
         granted = account.charged + min(left, requested)
         granted = self._apply_ration(account, granted, left, router_count)
+        if 0 <= self._era_age_s() < defaults.GRANT_ERA_SETTLE_S:
+            granted = min(granted, max(account.granted, account.charged))
         terms = account.new_terms(granted)
         account.resume()
         renew_s = defaults.GRANT_RENEW_S * review_interval_factor(router_count)
-        if not self._should_write(account, terms, renew_s):
+        is_lost = account.terms is not None and (
+            own is None
+            or own["process"] != self._holder.process
+            or own["terms"] != account.terms
+        )
+        if not is_lost and not self._should_write(account, terms, renew_s):
             return None
         account.set_pending_terms(terms)
         message = GrantRecord(
--- a/chicorystack/gateway/targets.py
+++ b/chicorystack/gateway/targets.py
@@ -79,6 +79,9 @@
         self._clock = clock
         self._store_status = store_status
         self._remove_at_by_id: dict[str, float] = {}
+        # Last entries of removed incarnations: a store that comes back from an
+        # older copy still has them.
+        self._removed_by_incarnation: dict[tuple[str, int], TargetEntry] = {}
         self._removal_listeners: list[Callable[[TargetEntry], None]] = []
         self._registration_listeners: list[Callable[[str], None]] = []
         self.entry_by_id: dict[str, TargetEntry] = {}
@@ -130,7 +133,10 @@
 
     def _apply_entry(self, entry: TargetEntry) -> None:
         current = self.entry_by_id.get(entry.id)
-        if current is not None and entry.is_older_than(current):
+        removed = self._removed_by_incarnation.get(entry.incarnation)
+        if (current is not None and entry.is_older_than(current)) or (
+            removed is not None and entry.sequence <= removed.sequence
+        ):
             self._emit_event(entry, "outdated_entry")
             return
         self._remove_at_by_id.pop(entry.id, None)
@@ -172,6 +178,10 @@
             self._notify_removed(entry)
 
     def _notify_removed(self, entry: TargetEntry) -> None:
+        self._removed_by_incarnation[entry.incarnation] = entry
+        if len(self._removed_by_incarnation) > defaults.MAX_REMOVED_TARGETS:
+            oldest = next(iter(self._removed_by_incarnation))
+            del self._removed_by_incarnation[oldest]
         for listener in self._removal_listeners:
             listener(entry)
 
--- a/chicorystack/platform/standin/store.py
+++ b/chicorystack/platform/standin/store.py
@@ -44,16 +44,28 @@
     value: str
 
 
+class RestoreRequest(msgspec.Struct):
+    """Asks the store to return to an older copy of its contents.
+
+    Attributes:
+        age_s: Age of the copy, in seconds.
+    """
+
+    age_s: float
+
+
 class Record(NamedTuple):
     """One record.
 
     Attributes:
         key: Its key.
         value: Its value; empty if the key is deleted.
+        appended_at: Clock time of its append, in seconds.
     """
 
     key: str
     value: bytes
+    appended_at: float
 
 
 class StoreState:
@@ -63,6 +75,7 @@
         records_by_partition: Records by topic and partition number.
         faults: Current faults.
         call_counts: Calls received so far, by name.
+        era: Number of this history; rises when an older copy is restored.
     """
 
     def __init__(self):
@@ -71,6 +84,17 @@
         )
         self.faults = StoreFaults()
         self.call_counts: dict[str, int] = defaultdict(int)
+        self.era = 1
+
+    def restore(self, copied_at: float) -> None:
+        """Drops what the system has written since a clock time.
+
+        What the operator and the engines wrote stays, as they write it again.
+        """
+        self.era += 1
+        for (topic, _), records in self.records_by_partition.items():
+            if topic not in READ_ONLY_TOPICS:
+                records[:] = [r for r in records if r.appended_at <= copied_at]
 
 
 class StoreResource(resource.Resource):
@@ -85,6 +109,7 @@
 
     def render_GET(self, request: server.Request) -> bytes | int:
         """Handles reads."""
+        self._set_era(request)
         name = request.path.decode().rpartition("/")[2]
         if name == "counts":
             return msgspec.json.encode(dict(self._state.call_counts))
@@ -101,19 +126,28 @@
 
     def render_POST(self, request: server.Request) -> bytes | int:
         """Handles writes."""
+        self._set_era(request)
         name = request.path.decode().rpartition("/")[2]
         body = request.content.read()
         if name == "faults":
             self._state.faults = msgspec.json.decode(body, type=StoreFaults)
             return b"{}"
+        if name == "restore":
+            restore = msgspec.json.decode(body, type=RestoreRequest)
+            self._state.restore(self._reactor.seconds() - restore.age_s)
+            return b"{}"
         if name == "put":
             put = msgspec.json.decode(body, type=PutRequest)
             records = self._state.records_by_partition[put.topic, 0]
-            records.append(Record(put.key, put.value.encode()))
+            now = self._reactor.seconds()
+            records.append(Record(put.key, put.value.encode(), now))
             return b"{}"
         self._state.call_counts[name] += 1
         return self._append(request, body)
 
+    def _set_era(self, request: server.Request) -> None:
+        request.setHeader("Store-Era", str(self._state.era))
+
     def _append(self, request: server.Request, body: bytes) -> bytes | int:
         fault = self._state.faults.appends
         if fault in ("refuse", "silent"):
@@ -128,7 +162,7 @@
             request.setResponseCode(412)
             return msgspec.json.encode({"End": len(records)})
         offset = len(records)
-        records += _decode_records(body)
+        records += _decode_records(body, self._reactor.seconds())
         if fault == "lost":
             return _respond_with_fault(request, fault)
         return msgspec.json.encode({"Offset": offset, "End": len(records)})
@@ -159,10 +193,17 @@
             _requested_partition(request)
         ]
         start = int(request.args[b"From"][0])
+        if start > len(records):
+            request.setResponseCode(410)
+            request.write(b'{"First": 0}')
+            request.finish()
+            return
         wait_s = int(request.args.get(b"WaitMs", [b"0"])[0]) / 1000
         deadline = self._reactor.seconds() + wait_s
         while len(records) <= start and self._reactor.seconds() < deadline:
             await task.deferLater(self._reactor, LONG_POLL_INTERVAL_S)
+        # The era may have changed while the request waited.
+        self._set_era(request)
         request.write(READ_HEADER.pack(len(records), 0))
         for record in records[start:]:
             content = (
@@ -176,14 +217,15 @@
     return request.args[b"Topic"][0].decode(), int(request.args[b"part"][0])
 
 
-def _decode_records(body: bytes) -> list[Record]:
+def _decode_records(body: bytes, now: float) -> list[Record]:
     records, position = [], 0
     while position < len(body):
         (length,) = RECORD_LENGTH.unpack_from(body, position)
         position += RECORD_LENGTH.size
         content = body[position : position + length]
         key_end = 1 + content[0]
-        records.append(Record(content[1:key_end].decode(), content[key_end:]))
+        key = content[1:key_end].decode()
+        records.append(Record(key, content[key_end:], now))
         position += length
     return records
 
--- a/chicorystack/platform/store.py
+++ b/chicorystack/platform/store.py
@@ -28,6 +28,7 @@
     fetch,
 )
 
+ERA = b"store-era"
 RECORD_LENGTH = struct.Struct(">I")
 # Offset after the partition's last record, and offset of its first retained
 # record.
@@ -91,11 +92,16 @@
 
 
 class PlatformStore:
-    """Client of the store over HTTP."""
+    """Client of the store over HTTP.
+
+    Attributes:
+        era: See KeyedLog.
+    """
 
     def __init__(self, reactor, settings: StoreSettings):
         self._reactor = reactor
         self._timeout = AdaptiveTimeout()
+        self.era = 0
         self._use_address(settings.address)
 
     def reload(self, settings: StoreSettings) -> None:
@@ -119,8 +125,12 @@
         records: list[KeyedRecord] = []
         end: int | None = None
         after: str | None = None
+        era: int | None = None
         while True:
             page = await self._newest_page(partition, after)
+            if era not in (None, self.era):
+                raise HistoryGoneError("the store's era changed between pages")
+            era = self.era
             end = page.End if end is None else end
             records += [_decode_entry(entry) for entry in page.Entries]
             if not page.HasMore or not page.Entries:
@@ -159,6 +169,12 @@
         _check_ok(response)
         return _decode_json(_append_decoder, response).Offset
 
+    def _record_era(self, response: HttpResponse) -> None:
+        """Notes the era; a response that arrives late may name an older one."""
+        text = _find_header(response, ERA).strip()
+        if text.isdigit():
+            self.era = max(self.era, int(text))
+
     async def _newest_page(
         self, partition: Partition, after: str | None
     ) -> _NewestReply:
@@ -195,6 +211,7 @@
         except ExchangeError as error:
             self._timeout.record_failure()
             raise StoreError(f"{name}: {error}", error.sent) from error
+        self._record_era(response)
         if not wait_s:
             self._timeout.record_response_time(
                 self._reactor.seconds() - started_at
@@ -202,6 +219,10 @@
         return response
 
 
+def _find_header(response: HttpResponse, name: bytes) -> bytes:
+    return dict(response.headers).get(name, b"")
+
+
 def _partition_query(partition: Partition) -> dict[str, str | int]:
     return {"Topic": partition.topic, "part": partition.number}
 
--- a/chicorystack/store/follower.py
+++ b/chicorystack/store/follower.py
@@ -47,7 +47,7 @@
     """Delivers the records of a partition to a callback.
 
     It retries during outages of the store, and reads a new snapshot if the
-    records to read next have been deleted.
+    records to read next have been deleted or the store's era has changed.
 
     Attributes:
         loaded: Whether the newest record of each key has been read once.
@@ -63,12 +63,26 @@
         partition: Partition,
         timing: PollTiming,
         on_update: Callable[[Update], None],
+        on_new_era: Callable[[], None] = lambda: None,
     ):
+        """Prepares to follow a partition.
+
+        Args:
+            clock: The reactor.
+            log: The store.
+            partition: The partition.
+            timing: How often to read.
+            on_update: Called with the records of each read that returns any.
+            on_new_era: Called when the store has come back from an older copy,
+                before the snapshot of the new era is read.
+        """
         self._clock = clock
         self._log = log
         self._partition = partition
         self._timing = timing
         self._on_update = on_update
+        self._on_new_era = on_new_era
+        self._era = 0
         self._end: int | None = None
         self._failures = 0
         self._stopped = False
@@ -96,12 +110,15 @@
         try:
             page, is_snapshot = await self._read()
         except HistoryGoneError as error:
+            self._note_era()
             self._handle_history_gone(error)
             return 0.0
         except StoreError as error:
             self._record_failure(error)
             return backoff_delay(self._failures, defaults.STORE_RETRY_MAX_S)
         self._record_success()
+        if self._note_era():
+            return 0.0
         self._end = page.end
         self.loaded = True
         if page.records or is_snapshot:
@@ -116,6 +133,20 @@
         )
         return page, False
 
+    def _note_era(self) -> bool:
+        """Notes the store's era; returns whether a new one has begun."""
+        before, self._era = self._era, self._log.era
+        if before in (0, self._era):
+            return False
+        emit(
+            "store", "new_era", topic=self._partition.topic, before=before,
+            now=self._era, offset=self._end,
+        )  # fmt: skip
+        self._end = None
+        self.recovered_at = self._clock.seconds()
+        self._on_new_era()
+        return True
+
     def _handle_history_gone(self, error: HistoryGoneError) -> None:
         emit(
             "store",
--- a/chicorystack/store/keyed_log.py
+++ b/chicorystack/store/keyed_log.py
@@ -72,7 +72,15 @@
 
 
 class KeyedLog(Protocol):
-    """Calls of the store; each raises StoreError if it fails."""
+    """Calls of the store; each raises StoreError if it fails.
+
+    Attributes:
+        era: Number of the store's history, as of its last response; 0 before
+            the first. It rises when the store comes back from an older copy:
+            the newest records are gone and their offsets are given out again.
+    """
+
+    era: int
 
     async def read_newest(self, partition: Partition) -> ReadResult:
         """Returns the newest record of each key."""
--- /dev/null
+++ b/tests/budget/test_grants_store_era.py
@@ -0,0 +1,195 @@
+"""Budgets hold while the store comes back from a copy some seconds old.
+
+Grants that routers have raised since the copy are gone from the store, but the
+routers use them.
+"""
+
+import msgspec
+import pytest
+from twisted.internet import defer, task
+
+from chicorystack.budget.grant_client import GrantClient
+from chicorystack.budget.grant_records import (
+    GrantLedger,
+    GrantRecord,
+    Holder,
+    record_key,
+)
+from chicorystack.store.keyed_log import StoreError
+from tests.budget.grant_machine import VmClock
+from tests.budget.test_grant_machine import NoPeers
+from tests.support.fake_log import FakeLog
+
+PREPAID = 100_000
+CALL_TOKENS = 1_000
+COPY_AGE_S = 4.0
+ROUTERS = ("front-1", "front-2", "front-3")
+
+
+class CutLog:
+    """One router's access to the shared log, which can be cut."""
+
+    def __init__(self, log):
+        self._log = log
+        self.cut = False
+        self.era = log.era
+
+    async def _call(self, name, *arguments):
+        result = await getattr(self._log, name)(*arguments)
+        if self.cut:
+            raise StoreError("the router is cut off", maybe_done=True)
+        self.era = self._log.era
+        return result
+
+    async def read_newest(self, partition):
+        return await self._call("read_newest", partition)
+
+    async def read(self, partition, start, wait_s):
+        return await self._call("read", partition, start, wait_s)
+
+    async def append(self, partition, records, expected_end=None):
+        if self.cut:
+            raise StoreError("the router is cut off")
+        return await self._call("append", partition, records, expected_end)
+
+
+class Router:
+    """A router with calls of one customer."""
+
+    def __init__(self, clock, log, name, process):
+        self._clock = clock
+        self.log = CutLog(log)
+        self.used = 0
+        self.client = GrantClient(
+            clock, self.log, "keyed.grants", Holder(name, process),
+            lambda: len(ROUTERS), VmClock(clock), NoPeers(),
+        )  # fmt: skip
+        self.client.set_prepaid({"alpha": PREPAID})
+        self.client.start()
+
+    @property
+    def granted(self):
+        return self.client._grants.account_by_customer["alpha"].granted
+
+    def call(self):
+        deadline = self._clock.seconds() + 0.5
+        reserving = defer.ensureDeferred(
+            self.client.reserve("alpha", CALL_TOKENS, deadline)
+        )
+        reserving.addCallbacks(self._record_use, lambda _: None)
+
+    def _record_use(self, reservation):
+        self.used += reservation.tokens
+        self.client.settle(reservation, reservation.tokens)
+
+
+class Fleet:
+    """Routers that share a log."""
+
+    def __init__(self):
+        self.clock = task.Clock()
+        self.log = FakeLog(self.clock)
+        self.routers = [
+            Router(self.clock, self.log, name, f"{name}#1") for name in ROUTERS
+        ]
+
+    @property
+    def used(self):
+        return sum(router.used for router in self.routers)
+
+    def run(self, seconds, calls_per_s=0, routers=None):
+        for step in range(round(seconds / 0.05)):
+            self.clock.advance(0.05)
+            due = (step + 1) * calls_per_s // 20 - step * calls_per_s // 20
+            for _ in range(due):
+                for router in self.routers if routers is None else routers:
+                    router.call()
+
+
+def raise_one_grant(fleet):
+    """Lets the first router use much more than before, seen by the others."""
+    fleet.run(9.0, calls_per_s=1)
+    before = fleet.routers[0].granted
+    fleet.run(COPY_AGE_S - 1.0, calls_per_s=10, routers=fleet.routers[:1])
+    fleet.run(0.5, calls_per_s=2)
+    assert fleet.routers[0].granted > before + 10 * CALL_TOKENS
+
+
+def forget_earlier_records(patch):
+    def enter_era(ledger):
+        ledger.end = None
+
+    patch.setattr(GrantLedger, "enter_era", enter_era)
+
+
+def spend_all(fleet):
+    """Returns the tokens used once the callers have asked for far too many."""
+    fleet.run(40.0, calls_per_s=20)
+    return fleet.used
+
+
+def cut_off_through_the_change():
+    """Returns the use where the router with the raised grant is cut off."""
+    fleet = Fleet()
+    raise_one_grant(fleet)
+    fleet.routers[0].log.cut = True
+    fleet.log.restore(COPY_AGE_S)
+    fleet.run(12.0, calls_per_s=20)
+    fleet.routers[0].log.cut = False
+    return spend_all(fleet)
+
+
+def test_routers_that_live_write_their_grants_again():
+    fleet = Fleet()
+    raise_one_grant(fleet)
+    fleet.log.restore(COPY_AGE_S)
+    fleet.run(1.5)
+    records = {
+        record.key: msgspec.json.decode(record.value, type=GrantRecord)
+        for log in fleet.log.records.values()
+        for record in log
+    }
+    for name, router in zip(ROUTERS, fleet.routers, strict=True):
+        terms = records[record_key("alpha", name)]["terms"]
+        assert terms.granted >= router.used
+    assert spend_all(fleet) <= PREPAID
+
+
+def test_budget_is_used_up_in_the_new_era():
+    fleet = Fleet()
+    raise_one_grant(fleet)
+    fleet.log.restore(COPY_AGE_S)
+    assert spend_all(fleet) >= 0.97 * PREPAID
+
+
+def test_grant_of_a_router_that_is_cut_off_counts():
+    assert cut_off_through_the_change() <= PREPAID
+
+
+def test_grant_of_a_cut_off_router_is_given_away_if_forgotten(monkeypatch):
+    forget_earlier_records(monkeypatch)
+    assert cut_off_through_the_change() > PREPAID
+
+
+def test_use_of_a_router_that_dies_before_it_writes_again_counts():
+    fleet = Fleet()
+    raise_one_grant(fleet)
+    fleet.routers[0].log.cut = True
+    fleet.log.restore(COPY_AGE_S)
+    fleet.run(6.0, calls_per_s=20)
+    dead = fleet.routers[0]
+    dead.client.stop()
+    dead.call = lambda: None
+    fleet.routers.append(
+        Router(fleet.clock, fleet.log, ROUTERS[0], "front-1#2")
+    )
+    assert spend_all(fleet) <= PREPAID
+
+
+@pytest.mark.parametrize("copy_age_s", [0.5, 1.0, 2.0, 3.0, 6.0])
+def test_series_of_changes_under_load_keeps_the_budget(copy_age_s):
+    fleet = Fleet()
+    for _ in range(5):
+        fleet.run(3.0, calls_per_s=3)
+        fleet.log.restore(copy_age_s)
+    assert spend_all(fleet) <= PREPAID
--- a/tests/support/fake_log.py
+++ b/tests/support/fake_log.py
@@ -28,6 +28,7 @@
         records: All records appended, by partition.
         first_offset_by_partition: First offset that has not been deleted.
         calls: Number of calls received.
+        era: See KeyedLog.
     """
 
     def __init__(self, clock):
@@ -37,6 +38,8 @@
         self.records = defaultdict(list)
         self.first_offset_by_partition = defaultdict(int)
         self.calls = 0
+        self.era = 1
+        self._appended_at = defaultdict(list)
 
     async def _respond(self, delay_s=RESPONSE_DELAY_S):
         self.calls += 1
@@ -54,7 +57,8 @@
 
     async def read(self, partition, start, wait_s):
         await self._respond()
-        if start < self.first_offset_by_partition[partition]:
+        first = self.first_offset_by_partition[partition]
+        if not first <= start <= len(self.records[partition]):
             raise HistoryGoneError("the records have been deleted")
         records = self.records[partition][start:]
         return ReadResult(list(records), start + len(records))
@@ -87,8 +91,20 @@
         offset = len(log)
         for record_offset, record in enumerate(records, offset):
             log.append(KeyedRecord(record.key, record.value, record_offset))
+            self._appended_at[partition].append(self.clock.seconds())
         return offset
 
+    def restore(self, age_s):
+        """Returns to the contents of age_s seconds ago, in a new era."""
+        self.era += 1
+        copied_at = self.clock.seconds() - age_s
+        for partition, times in self._appended_at.items():
+            kept = sum(at <= copied_at for at in times)
+            del times[kept:]
+            del self.records[partition][kept:]
+            first = self.first_offset_by_partition[partition]
+            self.first_offset_by_partition[partition] = min(first, kept)
+
     def _append_late(self, partition, records, expected_end):
         try:
             self._append(partition, records, expected_end)
