Let an overloaded router leave the rotation until its callers have moved

Cause: callers are spread by a hash, and one router got up to ten times the mean.

OverloadControl meters the link and the loop's delay. Above a load of 0.4 a router rests, if at most 0.3 of its data centre's routers do and those in rotation have less than half of its load in the median: readiness off, connections closed after each response. A rest lasts 5 s, twice as long if the callers come back, 40 s at most.

The records of routers name their data centre; routers register and publish strikes again in a new era of the store.

--- a/chicorystack/budget/loans.py
+++ b/chicorystack/budget/loans.py
@@ -316,7 +316,7 @@
         pending = defer.ensureDeferred(
             self._peers.request_loan(router, request)
         )
-        pending.addTimeout(defaults.LOAN_TIMEOUT_S, self._clock)
+        pending.addTimeout(defaults.PEER_TIMEOUT_S, self._clock)
         try:
             answer = await pending
         except (LoanError, defer.TimeoutError) as error:
--- a/chicorystack/defaults.py
+++ b/chicorystack/defaults.py
@@ -256,6 +256,8 @@
 # Targets of the gateway.
 # Time after the store's recovery in which live targets can register again.
 REREGISTRATION_GRACE_S = 2.0
+# Number of removed incarnations whose last entries are remembered.
+MAX_REMOVED_TARGETS = 1_024
 # Longest time for which a target can ask for no calls.
 TARGET_PAUSE_MAX_S = 3_600.0
 # Number of incarnations whose requests for no calls are remembered.
@@ -314,9 +316,13 @@
 GRANT_OUTAGE_RETRY_S = 3.0
 # Number of partitions over which customers' grants are distributed.
 GRANT_PARTITIONS = 2
+# After the store has come back from an older copy: time in which no router
+# raises a grant, and time after which routers write again the records of others
+# that have not done so.
+GRANT_ERA_SETTLE_S = 4.0
+GRANT_RESTORE_DELAY_S = 1.5
 # Loans between routers.
-# Time limit for one router, and for the whole search.
-LOAN_TIMEOUT_S = 0.15
+# Time limit for the whole search.
 LOAN_SEARCH_TIMEOUT_S = 0.3
 LOAN_MAX_LENDERS = 4
 # Expected use that a loan should cover besides the tokens lacking.
@@ -329,6 +335,38 @@
 # respond and may have received them.
 HAND_OVER_ATTEMPTS = 2
 
+# Messages to other routers.
+PEER_TIMEOUT_S = 0.15
+
+# Overload control of a router.
+# Bytes of the headers around one message, which use the link, too.
+PACKET_OVERHEAD_BYTES = 80
+LINK_RATE_TIME_CONSTANT_S = 1.0
+LOOP_DELAY_CHECK_INTERVAL_S = 0.1
+# Gain of the moving average of the loop's delay.
+LOOP_DELAY_GAIN = 0.2
+# Delay of the loop that counts as a router that can carry no more.
+LOOP_DELAY_FULL_LOAD_S = 0.1
+OVERLOAD_REVIEW_INTERVAL_S = 0.1
+# Loads above which a router asks for the others' reports and above which it
+# rests, and below which a rest may end.
+OVERLOAD_WATCH_LOAD = 0.2
+OVERLOAD_START_LOAD = 0.4
+OVERLOAD_END_LOAD = 0.2
+OVERLOAD_ASK_INTERVAL_S = 1.0
+OVERLOAD_REPORT_TIMEOUT_S = 0.8
+OVERLOAD_REPORT_TTL_S = 3.0
+# A router has room for a resting router's callers with less than this part of
+# that router's load.
+ROOM_LOAD_FRACTION = 0.5
+# Maximum fraction of a data centre's routers that rest at the same time.
+RESTING_ROUTERS_MAX_FRACTION = 0.3
+# A rest takes at least the minimum. It is twice as long as the last one, up to
+# the maximum, if that ended less than the memory time ago.
+REST_MIN_S = 5.0
+REST_MAX_S = 40.0
+REST_MEMORY_S = 10.0
+
 # Placement at the gateway.
 # Half-life of a target's reported load.
 LOAD_HALF_LIFE_S = 0.5
--- a/chicorystack/gateway/caller_http.py
+++ b/chicorystack/gateway/caller_http.py
@@ -10,6 +10,7 @@
 from twisted.web import http
 from zope.interface import implementer
 
+from chicorystack.gateway.link import LinkMeter
 from chicorystack.gateway.messages import (
     CallerRequest,
     Refusal,
@@ -127,6 +128,7 @@
             message = f"the body exceeds {limit} bytes"
             self.refuse(Refusal(413, "body_too_large", message))
             return
+        self._site.link.record(self.content.tell())
         raw = RawRequest(
             command,
             path,
@@ -169,6 +171,7 @@
     def send(self, data: bytes) -> None:
         """See ResponseWriter."""
         if not self.disconnected:
+            self._site.link.record(len(data))
             self.write(data)
 
     def end(self) -> None:
@@ -226,6 +229,7 @@
     Attributes:
         codec: Decodes requests.
         serve: Serves a request and writes its response.
+        link: Meters the requests and responses.
         max_body_bytes: Most bytes of a request body.
         closing: Whether connections close after the current response.
     """
@@ -235,6 +239,7 @@
         reactor,
         codec: CallerCodec,
         serve: Callable[[CallerRequest, ResponseWriter], None],
+        link: LinkMeter,
     ):
         super().__init__(
             None,
@@ -245,6 +250,7 @@
         self._reactor = reactor
         self.codec = codec
         self.serve = serve
+        self.link = link
         self.max_body_bytes = CallerLimits().max_body_bytes
 
     def seconds(self) -> float:
--- a/chicorystack/gateway/crashes.py
+++ b/chicorystack/gateway/crashes.py
@@ -123,6 +123,7 @@
             self._partition,
             PollTiming(0.0, defaults.STRIKES_READ_PAUSE_S),
             self._apply_update,
+            self._publish_again,
         )
 
     def start(self) -> None:
@@ -144,6 +145,11 @@
             publishing.addErrback(_log_publish_failure)
             publishing.addBoth(self._on_published)
 
+    def _publish_again(self) -> None:
+        """Publishes all strikes in a store that may have lost some."""
+        for content in {m["content"] for m in self._strikes.messages()}:
+            self.publish(content)
+
     def _on_published(self, _result) -> None:
         self._publishing = False
 
--- /dev/null
+++ b/chicorystack/gateway/peer_http.py
@@ -0,0 +1,116 @@
+"""JSON messages between routers, over HTTP."""
+
+from collections.abc import Callable
+from typing import Any, TypeVar
+
+import msgspec
+from twisted.web import http, resource, server
+
+from chicorystack import defaults
+from chicorystack.errors import ChicoryError
+from chicorystack.gateway.peers import PeerRouter
+from chicorystack.observe.events import emit
+from chicorystack.web.exchange import (
+    Address,
+    ConnectionPool,
+    ExchangeError,
+    FetchLimits,
+    HttpRequest,
+    fetch,
+)
+
+ResponseT = TypeVar("ResponseT")
+
+
+class PeerError(ChicoryError):
+    """A message to another router failed.
+
+    Attributes:
+        maybe_done: Whether the router may have handled it.
+    """
+
+    def __init__(self, message: str, maybe_done: bool = True):
+        super().__init__(message)
+        self.maybe_done = maybe_done
+
+
+class MessageResource(resource.Resource):
+    """Decodes and handles one type of message, sent by POST."""
+
+    isLeaf = True
+
+    def __init__(self, message_type: type, handler: Callable[[Any], object]):
+        super().__init__()
+        self._decoder = msgspec.json.Decoder(message_type)
+        self._handler = handler
+
+    def render_POST(self, request: server.Request) -> bytes:
+        """Returns the handler's result as JSON; 400 if decoding fails."""
+        try:
+            message = self._decoder.decode(request.content.read())
+        except msgspec.DecodeError as error:
+            emit("routers", "bad_message", reason=str(error))
+            request.setResponseCode(http.BAD_REQUEST)
+            return b""
+        request.setHeader(b"content-type", b"application/json")
+        return msgspec.json.encode(self._handler(message))
+
+
+class PeerClient:
+    """Sends messages to other routers."""
+
+    def __init__(
+        self, reactor, peer_by_name: Callable[[], dict[str, PeerRouter]]
+    ):
+        self._reactor = reactor
+        self._peer_by_name = peer_by_name
+        self._pool_by_address: dict[Address, ConnectionPool] = {}
+
+    def names(self, data_centre: str | None = None) -> list[str]:
+        """Returns the other routers, of one data centre or all."""
+        return [
+            name
+            for name, peer in self._peer_by_name().items()
+            if data_centre in (None, peer.data_centre)
+        ]
+
+    async def send(
+        self,
+        router: str,
+        path: bytes,
+        message: object,
+        response_type: type[ResponseT],
+        timeout_s: float = defaults.PEER_TIMEOUT_S,
+    ) -> ResponseT:
+        """Sends a message and returns the decoded response.
+
+        Raises:
+            PeerError: If the router has left or sent no valid response.
+        """
+        peer = self._peer_by_name().get(router)
+        if peer is None:
+            raise PeerError(f"router {router} has left", maybe_done=False)
+        request = HttpRequest(
+            b"POST",
+            path,
+            [(b"host", str(peer.address).encode())],
+            msgspec.json.encode(message),
+        )
+        limits = FetchLimits(timeout_s, timeout_s)
+        pool = self._connection_pool(peer.address)
+        try:
+            response = await fetch(self._reactor, pool, request, limits)
+            return msgspec.json.decode(response.body, type=response_type)
+        except ExchangeError as error:
+            raise PeerError(f"{router}: {error}", error.sent) from error
+        except msgspec.DecodeError as error:
+            raise PeerError(f"{router}: {error}") from error
+
+    def _connection_pool(self, address: Address) -> ConnectionPool:
+        pool = self._pool_by_address.get(address)
+        if pool is None:
+            pool = ConnectionPool(
+                self._reactor, address, defaults.PEER_TIMEOUT_S
+            )
+            self._pool_by_address[address] = pool
+        return pool
--- a/chicorystack/gateway/process.py
+++ b/chicorystack/gateway/process.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 from twisted.internet import defer, task
+from twisted.web import resource
 
 from chicorystack import defaults
 from chicorystack.budget.boot_clock import BootClock
@@ -18,10 +19,18 @@
 )
 from chicorystack.gateway.crashes import CrashDetector, StrikeReplicator
 from chicorystack.gateway.dispatcher import Dispatcher
+from chicorystack.gateway.link import LinkMeter
 from chicorystack.gateway.loads import TargetLoads
-from chicorystack.gateway.loan_http import HttpLoanPeers, LoanResource
+from chicorystack.gateway.loan_http import HttpLoanPeers, add_loan_resources
+from chicorystack.gateway.loop_delay import LoopDelayMeter
 from chicorystack.gateway.model import GatewayConfig
-from chicorystack.gateway.peers import RouterDirectory
+from chicorystack.gateway.overload import Load, OverloadControl
+from chicorystack.gateway.overload_http import (
+    HttpDataCentrePeers,
+    add_overload_resource,
+)
+from chicorystack.gateway.peer_http import PeerClient
+from chicorystack.gateway.peers import PeerRouter, RouterDirectory
 from chicorystack.gateway.placement import (
     LeastLoaded,
     PrefixAffinity,
@@ -103,8 +112,13 @@
             self._apply_targets,
         )
         self._routers = RouterDirectory(
-            reactor, log, ROUTERS_TOPIC, settings.name, settings.peer_address
+            reactor,
+            log,
+            ROUTERS_TOPIC,
+            settings.name,
+            PeerRouter(settings.data_centre, settings.peer_address),
         )
+        peers = PeerClient(reactor, lambda: self._routers.peer_by_name)
         self._grants = GrantClient(
             reactor,
             log,
@@ -112,7 +126,7 @@
             Holder(settings.name, new_id()),
             self._routers.count,
             BootClock(),
-            HttpLoanPeers(reactor, lambda: self._routers.address_by_name),
+            HttpLoanPeers(peers),
         )
         self._registry = TargetRegistry(reactor, self._store_status)
         loads = TargetLoads(reactor)
@@ -140,8 +154,16 @@
             self._retries,
             strikes,
         )
+        self._link = LinkMeter(reactor, settings.link_bytes_per_s)
+        self._loop_delay = LoopDelayMeter(reactor)
         self._site = GatewaySite(
-            reactor, adapter.caller_codec, self._dispatcher.serve
+            reactor, adapter.caller_codec, self._dispatcher.serve, self._link
+        )
+        self._overload = OverloadControl(
+            reactor,
+            self._measure_load,
+            HttpDataCentrePeers(peers, settings.data_centre),
+            self._update_site,
         )
         self._port = None
 
@@ -161,7 +183,7 @@
         )
         serve_resource(
             self._reactor,
-            LoanResource(self._grants.lender),
+            self._peer_resources(),
             settings.peer_address,
         )
         self._config_follower.start()
@@ -169,6 +191,8 @@
         self._routers.start()
         self._grants.start(random.uniform(0, defaults.GRANT_REVIEW_INTERVAL_S))
         self._strike_replicator.start()
+        self._loop_delay.start()
+        self._overload.start()
         emit("gateway", "started", callers=str(settings.caller_address))
 
     def reload(self, settings: GatewaySettings) -> None:
@@ -181,13 +205,14 @@
         emit("gateway", "reloaded", before=self._settings, now=settings)
         self._settings = settings
         self._retries.set_bounds(settings.retry_bounds)
+        self._link.set_capacity(settings.link_bytes_per_s)
 
     async def drain(self) -> None:
         """Finishes requests in progress, then stops the reactor."""
         if self._draining:
             return
         self._draining = True
-        self._site.closing = True
+        self._update_site()
         started_at = self._reactor.seconds()
         emit("gateway", "draining", open=self._dispatcher.open_requests)
         await task.deferLater(self._reactor, defaults.DRAIN_MIN_S)
@@ -231,8 +256,23 @@
             bool(self._config.version)
             and self._registry.loaded
             and not self._draining
+            and not self._overload.resting
         )
 
+    def _measure_load(self) -> Load:
+        return Load(self._link.utilization(), self._loop_delay.delay_s)
+
+    def _update_site(self) -> None:
+        """Closes callers' connections while they should move elsewhere."""
+        self._site.closing = self._draining or self._overload.resting
+
+    def _peer_resources(self) -> resource.Resource:
+        root, api = resource.Resource(), resource.Resource()
+        root.putChild(b"v1", api)
+        add_loan_resources(api, self._grants.lender)
+        add_overload_resource(api, self._overload.report)
+        return root
+
     def _store_status(self) -> StoreStatus:
         follower = self._targets_follower
         return StoreStatus(follower.last_response_at, follower.recovered_at)
--- a/chicorystack/gateway/settings.py
+++ b/chicorystack/gateway/settings.py
@@ -18,6 +18,8 @@
         peer_address: Address to listen on for other routers.
         max_descriptors: Limit on open file descriptors.
         retry_bounds: Bounds on the retries of all routers together.
+        link_bytes_per_s: Capacity of the VM's link in each direction; infinity
+            if unknown.
         grace_period_s: Time from SIGTERM until the process is killed.
     """
 
@@ -29,4 +31,5 @@
     peer_address: Address
     max_descriptors: int
     retry_bounds: RetryBounds
+    link_bytes_per_s: float
     grace_period_s: float
--- a/chicorystack/platform/settings.py
+++ b/chicorystack/platform/settings.py
@@ -1,5 +1,6 @@
 """Decodes the platform's settings file into the gateway's settings."""
 
+import math
 from pathlib import Path
 
 import msgspec
@@ -14,6 +15,7 @@
 # Port for other routers, counted from the first of PortRange; the first one
 # serves metrics.
 PEER_PORT_OFFSET = 1
+BYTES_PER_S_PER_MBPS = 1_000_000 / 8
 
 
 class SettingsError(UserError):
@@ -38,10 +40,13 @@
     Attributes:
         MaxFds: Limit on open file descriptors.
         MemoryMb: Memory limit in MB.
+        LinkMbps: Capacity of the VM's link in each direction, in Mbit/s; 0 if
+            unknown.
     """
 
     MaxFds: int
     MemoryMb: float
+    LinkMbps: float = 0.0
 
 
 class _Bounds(msgspec.Struct):
@@ -149,7 +154,14 @@
             window_s=fields.Bounds.RetryWindowS,
             slack=fields.Bounds.RetrySlack,
         ),
+        link_bytes_per_s=_link_bytes_per_s(fields.Limits),
         grace_period_s=fields.Bounds.GracePeriodS,
     )
     store = StoreSettings(Address.parse(fields.Platform.Address))
     return PlatformSettings(gateway, store)
+
+
+def _link_bytes_per_s(limits: _Limits) -> float:
+    if limits.LinkMbps <= 0:
+        return math.inf
+    return limits.LinkMbps * BYTES_PER_S_PER_MBPS
