Hold a customer's tokens at few routers of each data centre

Cause: each router held its own part of each budget.

Two routers of a data centre, chosen by rendezvous hashing for each customer, now hold what all routers there need; the others borrow from them and obtain a grant of their own only for calls that lack tokens then. What a holder lends, or cannot lend, counts in its rate. A search asks the holders nearby first, then other holders, up to 12 routers.

Sites with one or two routers a data centre are as before. The state machine passes with one holder as well.

--- a/chicorystack/budget/grant_account.py
+++ b/chicorystack/budget/grant_account.py
@@ -21,7 +21,8 @@
             call waits.
         borrowed: Tokens received from other routers so far.
         lent: Tokens transferred to other routers so far.
-        rate: Tokens used per second, as a moving average.
+        rate: Tokens used, or needed by borrowers, per second, as a moving
+            average.
         ration_limiter: Limits the grant near the end of the budget.
     """
 
@@ -103,7 +104,7 @@
             self.terms.refill_delay_s + max(0, lacking) / self.terms.refill_rate
         )
 
-    def needed_headroom(self, router_count: int) -> int:
+    def needed_headroom(self, holder_count: int) -> int:
         """Returns the tokens to hold beyond those in use, to bridge an outage.
 
         Until the router has observed its own calls for GRANT_OBSERVED_S, this
@@ -116,7 +117,7 @@
         )
         if self._observed_s < defaults.GRANT_OBSERVED_S:
             share = (
-                self.prepaid * defaults.GRANT_UNOBSERVED_FRACTION / router_count
+                self.prepaid * defaults.GRANT_UNOBSERVED_FRACTION / holder_count
             )
             return max(observed_need, int(share))
         return observed_need
@@ -149,11 +150,10 @@
             wished: Tokens that the borrower would like to get, so that it
                 borrows less often.
         """
-        spare = self.free - self.wanted
-        if spare <= 0:
-            return 0
+        spare = max(0, self.free - self.wanted)
         tokens = min(spare, max(needed, min(wished, spare // 2)))
         self.lent += tokens
+        self._spent_in_interval += max(tokens, needed)
         return tokens
 
     def add_loan(self, tokens: int) -> None:
--- a/chicorystack/budget/grant_client.py
+++ b/chicorystack/budget/grant_client.py
@@ -10,6 +10,7 @@
     Holder,
 )
 from chicorystack.budget.grants import ProcessGrants, review_interval_factor
+from chicorystack.budget.holders import EachRouterHolds, Holders
 from chicorystack.budget.loans import Borrower, Lender, LoanPeers
 from chicorystack.store.keyed_log import KeyedLog, Partition
 from chicorystack.util import stable_hash
@@ -31,11 +32,25 @@
         router_count: Callable[[], int],
         boot_clock: BootTimeClock,
         peers: LoanPeers,
+        holders: Holders | None = None,
     ):
+        """Starts without budgets.
+
+        Args:
+            clock: The reactor.
+            log: The store.
+            topic: Topic of the grants.
+            holder: This process.
+            router_count: Returns the number of routers.
+            boot_clock: The VM's clock.
+            peers: The other routers.
+            holders: Selects who holds unused tokens; each router by default.
+        """
         self._clock = clock
-        self._grants = ProcessGrants(holder, boot_clock)
+        holders = holders or EachRouterHolds(router_count)
+        self._grants = ProcessGrants(holder, boot_clock, holders)
         self.lender = Lender(self._grants)
-        self._borrower = Borrower(clock, self._grants, holder, peers)
+        self._borrower = Borrower(clock, self._grants, holder, peers, holders)
         self._partitions = [
             GrantPartition(
                 clock,
--- a/chicorystack/budget/grant_partition.py
+++ b/chicorystack/budget/grant_partition.py
@@ -112,7 +112,10 @@
         )
         if self._consecutive_failures:
             self._borrow_for_queue()
-        self.review()
+        if self._borrower.has_near_holder(customer):
+            self._borrow_nearby(customer)
+        else:
+            self.review()
         try:
             await call.ready
         finally:
@@ -290,6 +293,30 @@
         self._grants.update_from_ledger(self._ledger)
         self._queue.serve()
 
+    def _borrow_nearby(self, customer: str) -> None:
+        """Starts to borrow from the holders of the data centre, if not begun.
+
+        For calls that still lack tokens, the router then obtains a grant of its
+        own and asks further routers meanwhile: this may be how it learns that
+        the store is unreachable.
+        """
+        if customer in self._borrowing:
+            return
+        self._borrowing.add(customer)
+        borrowing = defer.ensureDeferred(self._borrow_or_review(customer))
+        borrowing.addErrback(_log_failure, self._partition)
+
+    async def _borrow_or_review(self, customer: str) -> None:
+        borrower = self._borrower
+        try:
+            if not await borrower.borrow_nearby(customer, self._ledger):
+                self.review()
+                if borrower.may_borrow(customer):
+                    await borrower.borrow(customer, self._ledger)
+        finally:
+            self._borrowing.discard(customer)
+        self._queue.serve()
+
     def _borrow_for_queue(self) -> None:
         """Starts to borrow the tokens that waiting calls lack."""
         for customer in self._queue.customers():
--- a/chicorystack/budget/grants.py
+++ b/chicorystack/budget/grants.py
@@ -32,6 +32,7 @@
     record_key,
     split_key,
 )
+from chicorystack.budget.holders import Holders
 from chicorystack.store.keyed_log import KeyedRecord
 
 _encoder = msgspec.json.Encoder()
@@ -46,8 +47,9 @@
         closing: Whether this process is stopping and obtains no more tokens.
     """
 
-    def __init__(self, holder: Holder, clock: BootTimeClock):
+    def __init__(self, holder: Holder, clock: BootTimeClock, holders: Holders):
         self._holder = holder
+        self._holders = holders
         self._clock = clock
         # Earlier processes on this VM have used no tokens since then.
         self._started_at = clock.instant()
@@ -145,7 +147,7 @@
         own = ledger.record(customer, router)
         lost, lost_spent = self._lost_tokens(own)
         available = account.prepaid - lost - ledger.committed(customer, router)
-        need = 0 if self.closing else account.needed_headroom(router_count)
+        need = self._needed_headroom(account, customer)
         headroom = _allowed_headroom(account, ledger, customer, router, need)
         left = max(0, available - account.charged)
         requested = max(0, account.wanted + headroom - account.unused_borrowed)
@@ -176,6 +178,11 @@
             record_key(customer, router), _encoder.encode(message)
         )
 
+    def _needed_headroom(self, account: Account, customer: str) -> int:
+        if self.closing or not self._holders.is_holder(customer):
+            return 0
+        return account.needed_headroom(self._holders.count(customer))
+
     def _apply_ration(
         self, account: Account, granted: int, left: int, router_count: int
     ) -> int:
--- a/chicorystack/budget/loans.py
+++ b/chicorystack/budget/loans.py
@@ -17,6 +17,7 @@
 from chicorystack import defaults
 from chicorystack.budget.grant_records import GrantLedger, Holder
 from chicorystack.budget.grants import ProcessGrants
+from chicorystack.budget.holders import Holders
 from chicorystack.errors import ChicoryError
 from chicorystack.observe.events import emit
 
@@ -193,9 +194,15 @@
     """Borrows the tokens that this router's waiting calls lack."""
 
     def __init__(
-        self, clock, grants: ProcessGrants, holder: Holder, peers: LoanPeers
+        self,
+        clock,
+        grants: ProcessGrants,
+        holder: Holder,
+        peers: LoanPeers,
+        holders: Holders,
     ):
         self._clock = clock
+        self._holders = holders
         self._grants = grants
         self._holder = holder
         self._peers = peers
@@ -215,18 +222,44 @@
 
     async def borrow(self, customer: str, ledger: GrantLedger) -> None:
         """Borrows from one router after another until no call lacks tokens."""
+        lenders = self._ranked_lenders(customer, ledger)
+        if not await self._borrow_from(lenders, customer, ledger):
+            self._retry_at_by_customer[customer] = (
+                self._clock.seconds() + defaults.LOAN_RETRY_DELAY_S
+            )
+
+    def has_near_holder(self, customer: str) -> bool:
+        """Returns whether another router nearby holds tokens for this one."""
+        return not self._holders.is_holder(customer) and any(
+            self._near_holders(customer)
+        )
+
+    async def borrow_nearby(self, customer: str, ledger: GrantLedger) -> bool:
+        """Borrows from the holders of this data centre.
+
+        Returns:
+            Whether no call lacks tokens any more.
+        """
+        lenders = list(self._near_holders(customer))
+        return await self._borrow_from(lenders, customer, ledger)
+
+    def _near_holders(self, customer: str) -> Iterator[str]:
+        names = self._holders.near(customer)
+        return filter(set(self._responsive_peers()).__contains__, names)
+
+    async def _borrow_from(
+        self, lenders: list[str], customer: str, ledger: GrantLedger
+    ) -> bool:
+        """Asks one router after another; returns whether no call lacks any."""
         account = self._grants.account_by_customer[customer]
         deadline = self._clock.seconds() + defaults.LOAN_SEARCH_TIMEOUT_S
-        for router in self._ranked_lenders(customer, ledger):
+        for router in lenders:
             if account.wanted <= account.free:
-                return
+                return True
             if self._clock.seconds() >= deadline:
-                break
+                return False
             await self._request_loan(router, customer, ledger.end or 0)
-        if account.wanted > account.free:
-            self._retry_at_by_customer[customer] = (
-                self._clock.seconds() + defaults.LOAN_RETRY_DELAY_S
-            )
+        return account.wanted <= account.free
 
     async def hand_over(self) -> None:
         """Transfers all unused tokens to one other router before stopping.
@@ -272,12 +305,18 @@
         return None
 
     def _ranked_lenders(self, customer: str, ledger: GrantLedger) -> list[str]:
-        """Returns the routers to ask, by estimated free tokens, most first."""
-        free_by_router = {
-            router: self._estimated_free(router, customer, ledger)
-            for router in self._responsive_peers()
-        }
-        ranked = sorted(free_by_router, key=free_by_router.get, reverse=True)
+        """Returns the routers to ask: holders first, nearby ones before others.
+
+        Those with most free tokens, as far as known, come first among equals.
+        """
+        near = set(self._holders.near(customer))
+        holders = self._holders.all(customer)
+
+        def rank(router: str) -> tuple[bool, bool, int]:
+            free = self._estimated_free(router, customer, ledger)
+            return router in near, router in holders, free
+
+        ranked = sorted(self._responsive_peers(), key=rank, reverse=True)
         return ranked[: defaults.LOAN_MAX_LENDERS]
 
     def _responsive_peers(self) -> Iterator[str]:
--- a/chicorystack/defaults.py
+++ b/chicorystack/defaults.py
@@ -314,6 +314,8 @@
 # available during an outage of the store.
 GRANT_EXHAUSTED_RETRY_S = 5.0
 GRANT_OUTAGE_RETRY_S = 3.0
+# Routers of a data centre that hold a customer's unused tokens for all there.
+HOLDERS_PER_DATA_CENTRE = 2
 # Number of partitions over which customers' grants are distributed.
 GRANT_PARTITIONS = 2
 # After the store has come back from an older copy: time in which no router
@@ -324,7 +326,7 @@
 # Loans between routers.
 # Time limit for the whole search.
 LOAN_SEARCH_TIMEOUT_S = 0.3
-LOAN_MAX_LENDERS = 4
+LOAN_MAX_LENDERS = 12
 # Expected use that a loan should cover besides the tokens lacking.
 LOAN_AHEAD_S = 2.0
 # Time until the next search after one that found too few tokens.
--- a/chicorystack/gateway/peers.py
+++ b/chicorystack/gateway/peers.py
@@ -8,6 +8,7 @@
 from twisted.internet import defer, task
 
 from chicorystack import defaults
+from chicorystack.budget.holders import RouterPlace
 from chicorystack.observe.events import emit
 from chicorystack.store.follower import Follower, PollTiming, Update
 from chicorystack.store.keyed_log import (
@@ -49,6 +50,7 @@
 
     Attributes:
         peer_by_name: The other routers.
+        places: The other routers' places; replaced when they change.
     """
 
     def __init__(
@@ -71,6 +73,7 @@
         # Whether the next snapshot may lack routers that are still there.
         self._keep_peers = False
         self.peer_by_name: dict[str, PeerRouter] = {}
+        self.places: frozenset[RouterPlace] = frozenset()
         self._follower = Follower(
             clock,
             log,
@@ -132,6 +135,10 @@
         for record in update.records:
             if record.key != self._name:
                 self._apply_record(record)
+        self.places = frozenset(
+            RouterPlace(name, peer.data_centre)
+            for name, peer in self.peer_by_name.items()
+        )
         others = {name: str(peer) for name, peer in self.peer_by_name.items()}
         emit("routers", "counted", others=others)
 
--- a/chicorystack/gateway/process.py
+++ b/chicorystack/gateway/process.py
@@ -11,6 +11,7 @@
 from chicorystack.budget.boot_clock import BootClock
 from chicorystack.budget.grant_client import GrantClient
 from chicorystack.budget.grant_records import Holder
+from chicorystack.budget.holders import DataCentreHolders, RouterPlace
 from chicorystack.gateway.attempt import TargetCodec
 from chicorystack.gateway.caller_http import (
     CallerCodec,
@@ -127,6 +128,10 @@
             self._routers.count,
             BootClock(),
             HttpLoanPeers(peers),
+            DataCentreHolders(
+                RouterPlace(settings.name, settings.data_centre),
+                lambda: self._routers.places,
+            ),
         )
         self._registry = TargetRegistry(reactor, self._store_status)
         loads = TargetLoads(reactor)
--- a/tests/budget/test_grant_machine.py
+++ b/tests/budget/test_grant_machine.py
@@ -16,6 +16,7 @@
 from chicorystack.budget.grant_partition import GrantPartition
 from chicorystack.budget.grant_records import GrantTerms, Holder, Instant
 from chicorystack.budget.grants import Account, ProcessGrants
+from chicorystack.budget.holders import EachRouterHolds
 from chicorystack.observe.invariants import violations_by_name
 from chicorystack.store.keyed_log import KeyedRecord
 from tests.budget.grant_machine import GrantMachine
@@ -123,7 +124,9 @@
     key = grant_records.record_key("alpha", "front-1")
     ledger.load([KeyedRecord(key, msgspec.json.encode(record), 0)], 1)
     vm_clock = FixedClock(boot, 10.5)
-    grants = ProcessGrants(Holder("front-1", "new"), vm_clock)
+    grants = ProcessGrants(
+        Holder("front-1", "new"), vm_clock, EachRouterHolds(lambda: 1)
+    )
     grants.set_prepaid({"alpha": 10_000})
     # The predecessor has used no tokens since this process started, however
     # long this one takes to reach the store.
