Show the failures that other operators reported against real processes

The last readable record now goes on to count (test_unreadable_record_leaves_the_last_readable_one_in_force fails on the code before).

--- a/chicorystack/budget/grant_records.py
+++ b/chicorystack/budget/grant_records.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from chicorystack import defaults
+from chicorystack.observe.events import emit
 from chicorystack.store.keyed_log import KeyedRecord
 
 KEY_SEPARATOR = "/"
@@ -184,10 +185,14 @@
     def _store(self, record: KeyedRecord) -> None:
         customer, router = split_key(record.key)
         holders = self._by_customer.setdefault(customer, {})
-        if record.value:
-            holders[router] = _decoder.decode(record.value)
-        else:
+        if not record.value:
             holders.pop(router, None)
+            return
+        try:
+            holders[router] = _decoder.decode(record.value)
+        except msgspec.DecodeError as error:
+            # The router's last readable record goes on to count.
+            emit("budget", "unreadable", key=record.key, reason=str(error))
 
     def lost_records(self) -> Iterator[KeyedRecord]:
         """Yields records of earlier eras that promise more than the log's."""
--- a/chicorystack/platform/standin/engine.py
+++ b/chicorystack/platform/standin/engine.py
@@ -31,6 +31,8 @@
         fail: Whether it responds to plain requests with status 500.
         silent: Whether it sends no response.
         surplus: Whether surplus bytes follow a complete response.
+        repeat_after_s: Delay after which it sends each plain response again on
+            the same connection, in seconds; 0 for never.
         leaving: Whether its responses state that it is leaving.
         retry_after: Value of Retry-After in rejections; empty for none.
         endless: Where it sends bytes without end: `head` or `body`; empty for
@@ -47,6 +49,7 @@
     fail: bool = False
     silent: bool = False
     surplus: bool = False
+    repeat_after_s: float = 0.0
     leaving: bool = False
     retry_after: str = ""
     endless: str = ""
@@ -160,8 +163,15 @@
             request.setResponseCode(500)
         body = msgspec.json.encode({"engine": self._engine_id})
         request.setHeader("content-length", str(len(body)))
+        transport = request.transport
         request.write(body)
         request.finish()
+        if self._faults.repeat_after_s:
+            self._reactor.callLater(
+                self._faults.repeat_after_s,
+                transport.write,
+                _encode_response(request, body),
+            )
         if self._faults.surplus:
             request.transport.write(b"HTTP/1.1 200 OK\r\n\r\n")
 
@@ -215,5 +225,13 @@
         """Does nothing: nothing is sent after the connection is lost."""
 
 
+def _encode_response(request: server.Request, body: bytes) -> bytes:
+    """Returns a plain response as sent to a request."""
+    lines = [b"HTTP/1.1 200 OK"]
+    for name, values in request.responseHeaders.getAllRawHeaders():
+        lines += [name + b": " + value for value in values]
+    return b"\r\n".join(lines) + b"\r\n\r\n" + body
+
+
 def _request_id(request: server.Request) -> str:
     return request.getHeader("X-Chicorystack-Request-Attempt-Id") or ""
--- a/tests/budget/test_grant_machine.py
+++ b/tests/budget/test_grant_machine.py
@@ -221,6 +221,20 @@
     assert violations_after_late_append() > before
 
 
+@pytest.mark.parametrize("value", [b"not json", b"[]", b"\xff", b"{}"])
+def test_unreadable_record_leaves_the_last_readable_one_in_force(value):
+    terms = GrantTerms(1_000, 100, 200, 50.0, 1.0, Instant(5.0, 10.0))
+    record = grant_records.GrantRecord(
+        process="p", terms=terms, need=0, spent=80
+    )
+    key = grant_records.record_key("alpha", "front-1")
+    ledger = grant_records.GrantLedger()
+    ledger.load([KeyedRecord(key, msgspec.json.encode(record), 0)], 1)
+    ledger.apply([KeyedRecord(key, value, 1)], 2)
+    assert ledger.committed("alpha") == 1_000
+    assert ledger.end == 2
+
+
 def test_record_key_splits_into_customer_and_router():
     key = grant_records.record_key("a/b", "front-1")
     assert key.rpartition(grant_records.KEY_SEPARATOR)[::2] == (
