--- /dev/null
+++ b/chicorystack/budget/borrower.py
@@ -0,0 +1,219 @@
+"""The borrower's side of loans: see `loans`."""
+
+from collections.abc import Iterator
+from typing import NamedTuple
+
+from twisted.internet import defer
+
+from chicorystack import defaults
+from chicorystack.budget.grant_records import GrantLedger, Holder
+from chicorystack.budget.grants import ProcessGrants
+from chicorystack.budget.holders import Holders
+from chicorystack.budget.loans import (
+    HandOver,
+    LoanError,
+    LoanPeers,
+    LoanRequest,
+)
+from chicorystack.observe.events import emit
+
+
+class _FreeEstimate(NamedTuple):
+    """The free tokens that a router reported in its last answer.
+
+    Attributes:
+        free: Tokens free after the loan.
+        ledger_end: Offset up to which the log had been read at that time.
+    """
+
+    free: int
+    ledger_end: int
+
+
+class Borrower:
+    """Borrows the tokens that this router's waiting calls lack."""
+
+    def __init__(
+        self,
+        clock,
+        grants: ProcessGrants,
+        holder: Holder,
+        peers: LoanPeers,
+        holders: Holders,
+    ):
+        self._clock = clock
+        self._holders = holders
+        self._grants = grants
+        self._holder = holder
+        self._peers = peers
+        self._number_by_lender: dict[tuple[str, str], int] = {}
+        self._estimate_by_lender: dict[tuple[str, str], _FreeEstimate] = {}
+        self._skip_until_by_router: dict[str, float] = {}
+        self._retry_at_by_customer: dict[str, float] = {}
+
+    def may_borrow(self, customer: str) -> bool:
+        """Returns whether to try to borrow.
+
+        False for a short time after a search that found too few tokens, and
+        if no other router is known.
+        """
+        retry_at = self._retry_at_by_customer.get(customer, 0.0)
+        return bool(self._clock.seconds() >= retry_at and self._peers.names())
+
+    async def borrow(self, customer: str, ledger: GrantLedger) -> None:
+        """Borrows from one router after another until no call lacks tokens."""
+        lenders = self._ranked_lenders(customer, ledger)
+        if not await self._borrow_from(lenders, customer, ledger):
+            self._retry_at_by_customer[customer] = (
+                self._clock.seconds() + defaults.LOAN_RETRY_DELAY_S
+            )
+
+    def has_near_holder(self, customer: str) -> bool:
+        """Returns whether another router nearby holds tokens for this one."""
+        return not self._holders.is_holder(customer) and any(
+            self._near_holders(customer)
+        )
+
+    async def borrow_nearby(self, customer: str, ledger: GrantLedger) -> bool:
+        """Borrows from the holders of this data centre.
+
+        Returns:
+            Whether no call lacks tokens any more.
+        """
+        lenders = list(self._near_holders(customer))
+        return await self._borrow_from(lenders, customer, ledger)
+
+    def _near_holders(self, customer: str) -> Iterator[str]:
+        names = self._holders.near(customer)
+        return filter(set(self._responsive_peers()).__contains__, names)
+
+    async def _borrow_from(
+        self, lenders: list[str], customer: str, ledger: GrantLedger
+    ) -> bool:
+        """Asks one router after another; returns whether no call lacks any."""
+        account = self._grants.account_by_customer[customer]
+        deadline = self._clock.seconds() + defaults.LOAN_SEARCH_TIMEOUT_S
+        for router in lenders:
+            if account.wanted <= account.free:
+                return True
+            if self._clock.seconds() >= deadline:
+                return False
+            await self._request_loan(router, customer, ledger.end or 0)
+        return account.wanted <= account.free
+
+    async def hand_over(self) -> None:
+        """Transfers all unused tokens to one other router before stopping.
+
+        A router that does not answer may have accepted the tokens, so the
+        transfer is repeated to that router and to no other.
+        """
+        tokens_by_customer = {
+            customer: tokens
+            for customer, account in self._grants.account_by_customer.items()
+            if (tokens := account.lend(account.free, account.free))
+        }
+        if not tokens_by_customer:
+            return
+        message = HandOver(
+            self._holder.router, self._holder.process, tokens_by_customer
+        )
+        receiver = await self._find_receiver(message)
+        emit(
+            "budget", "handed_over", receiver=receiver,
+            tokens=tokens_by_customer,
+        )  # fmt: skip
+
+    async def _find_receiver(self, message: HandOver) -> str | None:
+        """Returns the router that confirmed the transfer; None if none did."""
+        for router in self._responsive_peers():
+            for _ in range(defaults.HAND_OVER_ATTEMPTS):
+                try:
+                    answer = await self._peers.hand_over(router, message)
+                except LoanError as error:
+                    emit(
+                        "budget", "hand_over_unanswered", receiver=router,
+                        reason=str(error),
+                    )  # fmt: skip
+                    if not error.maybe_done:
+                        break
+                    continue
+                if answer.taken:
+                    return router
+                break
+            else:
+                return None
+        return None
+
+    def _ranked_lenders(self, customer: str, ledger: GrantLedger) -> list[str]:
+        """Returns the routers to ask: holders first, nearby ones before others.
+
+        Those with most free tokens, as far as known, come first among equals.
+        """
+        near = set(self._holders.near(customer))
+        holders = self._holders.all(customer)
+
+        def rank(router: str) -> tuple[bool, bool, int]:
+            free = self._estimated_free(router, customer, ledger)
+            return router in near, router in holders, free
+
+        ranked = sorted(self._responsive_peers(), key=rank, reverse=True)
+        return ranked[: defaults.LOAN_MAX_LENDERS]
+
+    def _responsive_peers(self) -> Iterator[str]:
+        now = self._clock.seconds()
+        for router in self._peers.names():
+            if now >= self._skip_until_by_router.get(router, 0.0):
+                yield router
+
+    def _estimated_free(
+        self, router: str, customer: str, ledger: GrantLedger
+    ) -> int:
+        estimate = self._estimate_by_lender.get((router, customer))
+        if estimate is not None and estimate.ledger_end == (ledger.end or 0):
+            return estimate.free
+        record = ledger.record(customer, router)
+        if record is None:
+            return 0
+        return record["terms"].granted - record["terms"].in_use
+
+    async def _request_loan(
+        self, router: str, customer: str, ledger_end: int
+    ) -> None:
+        account = self._grants.account_by_customer[customer]
+        lender = (router, customer)
+        number = self._number_by_lender.setdefault(lender, 0)
+        needed = account.wanted - account.free
+        expected_use = int(account.rate * defaults.LOAN_AHEAD_S)
+        request = LoanRequest(
+            router=self._holder.router,
+            process=self._holder.process,
+            customer=customer,
+            number=number,
+            needed=needed,
+            wished=needed + expected_use,
+        )
+        pending = defer.ensureDeferred(
+            self._peers.request_loan(router, request)
+        )
+        pending.addTimeout(defaults.PEER_TIMEOUT_S, self._clock)
+        try:
+            answer = await pending
+        except (LoanError, defer.TimeoutError) as error:
+            self._skip_until_by_router[router] = (
+                self._clock.seconds() + defaults.LOAN_UNRESPONSIVE_S
+            )
+            emit(
+                "budget", "loan_unanswered", customer=customer, lender=router,
+                number=number, reason=repr(error),
+            )  # fmt: skip
+            return
+        self._number_by_lender[lender] = number + 1
+        self._estimate_by_lender[lender] = _FreeEstimate(
+            answer.free, ledger_end
+        )
+        account.add_loan(answer.tokens)
+        emit(
+            "budget", "borrowed", customer=customer, lender=router,
+            number=number, needed=needed, tokens=answer.tokens,
+            left_there=answer.free, free=account.free, ledger_end=ledger_end,
+        )  # fmt: skip
--- a/chicorystack/budget/grant_client.py
+++ b/chicorystack/budget/grant_client.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 from chicorystack import defaults
+from chicorystack.budget.borrower import Borrower
 from chicorystack.budget.grant_partition import GrantPartition
 from chicorystack.budget.grant_records import (
     BootTimeClock,
@@ -11,7 +12,8 @@
 )
 from chicorystack.budget.grants import ProcessGrants, review_interval_factor
 from chicorystack.budget.holders import EachRouterHolds, Holders
-from chicorystack.budget.loans import Borrower, Lender, LoanPeers
+from chicorystack.budget.lender import Lender
+from chicorystack.budget.loans import LoanPeers
 from chicorystack.store.keyed_log import KeyedLog, Partition
 from chicorystack.util import stable_hash
 
--- a/chicorystack/budget/grant_partition.py
+++ b/chicorystack/budget/grant_partition.py
@@ -7,6 +7,7 @@
 from twisted.internet import defer, task
 
 from chicorystack import defaults
+from chicorystack.budget.borrower import Borrower
 from chicorystack.budget.grant_queue import (
     GrantError,
     GrantQueue,
@@ -14,7 +15,6 @@
 )
 from chicorystack.budget.grant_records import GrantLedger, GrantReservation
 from chicorystack.budget.grants import ProcessGrants
-from chicorystack.budget.loans import Borrower
 from chicorystack.observe.events import emit
 from chicorystack.store.keyed_log import (
     ConflictError,
--- /dev/null
+++ b/chicorystack/budget/lender.py
@@ -0,0 +1,83 @@
+"""The lender's side of loans: see `loans`."""
+
+from typing import NamedTuple
+
+from chicorystack.budget.grants import ProcessGrants
+from chicorystack.budget.loans import (
+    HandOver,
+    HandOverAnswer,
+    LoanAnswer,
+    LoanRequest,
+)
+from chicorystack.observe.events import emit
+
+
+class _LastLoan(NamedTuple):
+    """The last loan to one router of one customer's tokens.
+
+    Attributes:
+        process: Id of the borrower's process.
+        number: Sequence number of the loan.
+        tokens: Tokens that were lent.
+    """
+
+    process: str
+    number: int
+    tokens: int
+
+
+class Lender:
+    """Lends tokens that this router's own waiting calls do not need."""
+
+    def __init__(self, grants: ProcessGrants):
+        self._grants = grants
+        self._last_loan_by_borrower: dict[tuple[str, str], _LastLoan] = {}
+        # Processes whose hand-overs have been accepted.
+        self._accepted_hand_overs: set[str] = set()
+
+    def lend(self, request: LoanRequest) -> LoanAnswer:
+        """Lends tokens.
+
+        A repeated request gets the same loan; an outdated one gets none.
+        """
+        account = self._grants.account_by_customer.get(request.customer)
+        if account is None or self._grants.superseded:
+            return LoanAnswer(0, 0)
+        key = (request.router, request.customer)
+        last = self._last_loan_by_borrower.get(key)
+        if last is None or last.process != request.process:
+            last = _LastLoan(request.process, -1, 0)
+        if request.number < last.number:
+            return LoanAnswer(0, account.free)
+        if request.number > last.number:
+            tokens = account.lend(request.needed, request.wished)
+            last = last._replace(number=request.number, tokens=tokens)
+            self._last_loan_by_borrower[key] = last
+        if last.tokens:
+            emit(
+                "budget", "lent", customer=request.customer,
+                to=request.router, number=request.number,
+                needed=request.needed, wished=request.wished,
+                tokens=last.tokens, free=account.free,
+            )  # fmt: skip
+        return LoanAnswer(last.tokens, account.free)
+
+    def accept_hand_over(self, message: HandOver) -> HandOverAnswer:
+        """Accepts the tokens of a router that is stopping.
+
+        A repeated message adds no tokens. If this router is stopping too, it
+        does not accept any.
+        """
+        if self._grants.closing:
+            return HandOverAnswer(taken=False)
+        if message.process not in self._accepted_hand_overs:
+            self._accepted_hand_overs.add(message.process)
+            for customer, tokens in message.tokens_by_customer.items():
+                account = self._grants.account_by_customer.get(customer)
+                if account is not None:
+                    account.add_loan(tokens)
+        emit(
+            "budget", "taken_over", router=message.router,
+            process=message.process, tokens=message.tokens_by_customer,
+        )  # fmt: skip
+        return HandOverAnswer(taken=True)
--- a/chicorystack/gateway/loan_http.py
+++ b/chicorystack/gateway/loan_http.py
@@ -8,10 +8,10 @@
 
 from twisted.web import resource
 
+from chicorystack.budget.lender import Lender
 from chicorystack.budget.loans import (
     HandOver,
     HandOverAnswer,
-    Lender,
     LoanAnswer,
     LoanError,
     LoanRequest,
