Tell a replaced process by the customer's own predecessor

Read in the diff: a record of a successor for a customer without terms made that process count as a predecessor for all customers, so a process that wakes up after it was replaced could have written again. Where no era has changed, records are no longer copied for each sum.

--- a/chicorystack/budget/grant_records.py
+++ b/chicorystack/budget/grant_records.py
@@ -203,7 +203,10 @@
 
     def _records_of(self, customer: str) -> dict[str, GrantRecord]:
         """Returns the records by router; of two eras, the one with more."""
-        records = dict(self._by_customer.get(customer, {}))
+        current = self._by_customer.get(customer, {})
+        if not self._earlier_by_key:
+            return current
+        records = dict(current)
         for key, earlier in self._earlier_by_key.items():
             owner, router = split_key(key)
             if owner != customer:
--- a/chicorystack/budget/grants.py
+++ b/chicorystack/budget/grants.py
@@ -54,8 +54,8 @@
         # Earlier processes on this VM have used no tokens since then.
         self._started_at = clock.instant()
         self._era_began_at: Instant | None = None
-        # Processes that wrote this router's records before this one did.
-        self._predecessors: set[str] = set()
+        # Process that wrote this router's last record before this one did.
+        self._predecessor_by_customer: dict[str, str] = {}
         self.closing = False
         self.account_by_customer: dict[str, Account] = {}
         self.superseded = False
@@ -102,8 +102,10 @@
                 if account.is_news(record["terms"]):
                     account.set_terms(record["terms"])
             elif account.terms is None:
-                self._predecessors.add(record["process"])
-            elif record["process"] not in self._predecessors:
+                self._predecessor_by_customer[customer] = record["process"]
+            elif record["process"] != self._predecessor_by_customer.get(
+                customer
+            ):
                 # A later process of this VM has written its own record.
                 self.superseded = True
 
@@ -158,12 +160,9 @@
         terms = account.new_terms(granted)
         account.resume()
         renew_s = defaults.GRANT_RENEW_S * review_interval_factor(router_count)
-        is_lost = account.terms is not None and (
-            own is None
-            or own["process"] != self._holder.process
-            or own["terms"] != account.terms
-        )
-        if not is_lost and not self._should_write(account, terms, renew_s):
+        if not self._is_lost(account, own) and not self._should_write(
+            account, terms, renew_s
+        ):
             return None
         account.set_pending_terms(terms)
         message = GrantRecord(
@@ -178,6 +177,21 @@
             record_key(customer, router), _encoder.encode(message)
         )
 
+    def _is_lost(self, account: Account, own: GrantRecord | None) -> bool:
+        """Returns whether the log has lost this process's newest terms.
+
+        Args:
+            account: The customer's account.
+            own: This router's record in the log; None if there is none.
+        """
+        if account.terms is None:
+            return False
+        return (
+            own is None
+            or own["process"] != self._holder.process
+            or own["terms"] != account.terms
+        )
+
     def _needed_headroom(self, account: Account, customer: str) -> int:
         if self.closing or not self._holders.is_holder(customer):
             return 0
--- a/tests/budget/test_grants_store_era.py
+++ b/tests/budget/test_grants_store_era.py
@@ -186,6 +186,16 @@
     assert spend_all(fleet) <= PREPAID
 
 
+def test_process_that_was_replaced_does_not_write_again():
+    fleet = Fleet()
+    fleet.run(9.0, calls_per_s=2)
+    old = fleet.routers[0]
+    successor = Router(fleet.clock, fleet.log, ROUTERS[0], "front-1#2")
+    fleet.run(3.0, calls_per_s=2, routers=[successor])
+    fleet.run(3.0, calls_per_s=2, routers=[old])
+    assert old.client._grants.superseded
+
+
 @pytest.mark.parametrize("copy_age_s", [0.5, 1.0, 2.0, 3.0, 6.0])
 def test_series_of_changes_under_load_keeps_the_budget(copy_age_s):
     fleet = Fleet()
