--- a/chicorystack/gateway/process.py
+++ b/chicorystack/gateway/process.py
@@ -120,44 +120,23 @@
             PeerRouter(settings.data_centre, settings.peer_address),
         )
         peers = PeerClient(reactor, lambda: self._routers.peer_by_name)
-        self._grants = GrantClient(
-            reactor,
-            log,
-            GRANTS_TOPIC,
-            Holder(settings.name, new_id()),
-            self._routers.count,
-            BootClock(),
-            HttpLoanPeers(peers),
-            DataCentreHolders(
-                RouterPlace(settings.name, settings.data_centre),
-                lambda: self._routers.places,
-            ),
-        )
+        self._grants = self._create_grants(log, peers)
         self._registry = TargetRegistry(reactor, self._store_status)
-        loads = TargetLoads(reactor)
-        placement = PromptAware(
-            PrefixAffinity(loads), LeastLoaded(settings.data_centre, loads)
-        )
         self._retries = RetryBudget(
             reactor, settings.retry_bounds, self._routers.count
         )
-        strikes = StrikeTable(reactor)
+        self._strikes = StrikeTable(reactor)
         self._strike_replicator = StrikeReplicator(
-            reactor, log, STRIKES_TOPIC, settings.name, strikes
-        )
-        crash_detector = CrashDetector(
-            reactor, strikes, self._strike_replicator.publish
+            reactor, log, STRIKES_TOPIC, settings.name, self._strikes
         )
         self._dispatcher = Dispatcher(
             reactor,
             lambda: self._config,
             adapter.target_codec,
-            TargetPool(
-                reactor, self._registry, loads, placement, crash_detector
-            ),
+            self._create_target_pool(),
             self._grants,
             self._retries,
-            strikes,
+            self._strikes,
         )
         self._link = LinkMeter(reactor, settings.link_bytes_per_s)
         self._loop_delay = LoopDelayMeter(reactor)
@@ -172,6 +151,33 @@
         )
         self._port = None
 
+    def _create_grants(self, log: KeyedLog, peers: PeerClient) -> GrantClient:
+        settings = self._settings
+        own_place = RouterPlace(settings.name, settings.data_centre)
+        return GrantClient(
+            self._reactor,
+            log,
+            GRANTS_TOPIC,
+            Holder(settings.name, new_id()),
+            self._routers.count,
+            BootClock(),
+            HttpLoanPeers(peers),
+            DataCentreHolders(own_place, lambda: self._routers.places),
+        )
+
+    def _create_target_pool(self) -> TargetPool:
+        loads = TargetLoads(self._reactor)
+        placement = PromptAware(
+            PrefixAffinity(loads),
+            LeastLoaded(self._settings.data_centre, loads),
+        )
+        crash_detector = CrashDetector(
+            self._reactor, self._strikes, self._strike_replicator.publish
+        )
+        return TargetPool(
+            self._reactor, self._registry, loads, placement, crash_detector
+        )
+
     def start(self) -> None:
         """Opens the ports and starts following the store."""
         settings = self._settings
