--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -1,8 +1,10 @@
 """Decoding of the platform's configuration, entries, settings and records."""
 
 import json
+import math
 
 import pytest
+from twisted.internet.task import Clock
 
 from bench.platform_fleet import default_config
 from chicorystack.gateway.model import CallKind
@@ -14,6 +16,7 @@
 from chicorystack.platform.settings import SettingsError, decode_settings
 from chicorystack.platform.target_entries import decode_entry
 from chicorystack.store.keyed_log import KeyedRecord, StoreError
+from chicorystack.web.exchange import Address, HttpResponse
 
 ENTRY = {
     "Service": "s", "Address": "10.0.0.9:8080", "Zone": "z", "Version": "v1",
@@ -125,3 +128,29 @@
     body = store.READ_HEADER.pack(9, 0) + store.RECORD_LENGTH.pack(40)
     with pytest.raises(StoreError):
         store._decode_records(body, 7)
+
+
+@pytest.mark.parametrize(
+    ("limits", "bytes_per_s"),
+    [
+        ({"LinkMbps": 10.0}, 1_250_000.0),
+        ({"LinkMbps": 0}, math.inf),
+        ({}, math.inf),
+    ],
+)
+def test_link_capacity_is_decoded_to_bytes_per_second(limits, bytes_per_s):
+    fields = SETTINGS | {"Limits": SETTINGS["Limits"] | limits}
+    settings = decode_settings(json.dumps(fields).encode())
+    assert settings.gateway.link_bytes_per_s == bytes_per_s
+
+
+def test_era_of_the_store_only_rises():
+    client = store.PlatformStore(
+        Clock(), store.StoreSettings(Address("127.0.0.1", 1))
+    )
+    eras = []
+    for value in (None, b"3", b"nonsense", b"2", b" 4 "):
+        headers = [] if value is None else [(b"store-era", value)]
+        client._record_era(HttpResponse(200, headers, b""))
+        eras.append(client.era)
+    assert eras == [0, 3, 3, 3, 4]
