--- a/chicorystack/gateway/overload.py
+++ b/chicorystack/gateway/overload.py
@@ -16,6 +16,7 @@
 
 from chicorystack import defaults
 from chicorystack.observe.events import emit
+from chicorystack.observe.exposition import rests_total
 
 
 class OverloadReport(msgspec.Struct, frozen=True):
@@ -186,6 +187,7 @@
             self._rest_s = defaults.REST_MIN_S
         self._rest_until = now + self._rest_s
         self.resting = True
+        rests_total.inc()
         others = [(round(r.load, 2), r.resting) for r in self._reports]
         self._emit("rests", load, others=others)
         self._on_change()
--- a/chicorystack/observe/exposition.py
+++ b/chicorystack/observe/exposition.py
@@ -28,6 +28,12 @@
     registry=REGISTRY,
 )
 
+rests_total = Counter(
+    "chicory_rests",
+    "Times that the router left the rotation because of its load",
+    registry=REGISTRY,
+)
+
 
 def metrics_text() -> bytes:
     """Returns all metrics in the Prometheus text format."""
