--- a/chicorystack/defaults.py
+++ b/chicorystack/defaults.py
@@ -351,23 +351,24 @@
 LOOP_DELAY_FULL_LOAD_S = 0.1
 OVERLOAD_REVIEW_INTERVAL_S = 0.1
 # Loads above which a router asks for the others' reports and above which it
-# rests, and below which a rest may end.
+# leaves the rotation, and below which it may return.
 OVERLOAD_WATCH_LOAD = 0.2
 OVERLOAD_START_LOAD = 0.4
 OVERLOAD_END_LOAD = 0.2
 OVERLOAD_ASK_INTERVAL_S = 1.0
 OVERLOAD_REPORT_TIMEOUT_S = 0.8
 OVERLOAD_REPORT_TTL_S = 3.0
-# A router has room for a resting router's callers with less than this part of
-# that router's load.
+# A router has room for another one's callers with less than this part of the
+# other one's load.
 ROOM_LOAD_FRACTION = 0.5
-# Maximum fraction of a data centre's routers that rest at the same time.
-RESTING_ROUTERS_MAX_FRACTION = 0.3
-# A rest takes at least the minimum. It is twice as long as the last one, up to
-# the maximum, if that ended less than the memory time ago.
-REST_MIN_S = 5.0
-REST_MAX_S = 40.0
-REST_MEMORY_S = 10.0
+# Maximum fraction of a data centre's routers that are out of rotation because
+# of their load.
+OUT_OF_ROTATION_MAX_FRACTION = 0.3
+# An absence takes at least the minimum. It is twice as long as the last one, up
+# to the maximum, if that ended less than the memory time ago.
+ROTATION_ABSENCE_MIN_S = 5.0
+ROTATION_ABSENCE_MAX_S = 40.0
+ROTATION_ABSENCE_MEMORY_S = 10.0
 
 # Placement at the gateway.
 # Half-life of a target's reported load.
--- a/chicorystack/gateway/overload.py
+++ b/chicorystack/gateway/overload.py
@@ -16,7 +16,7 @@
 
 from chicorystack import defaults
 from chicorystack.observe.events import emit
-from chicorystack.observe.exposition import rests_total
+from chicorystack.observe.exposition import rotation_exits_total
 
 
 class OverloadReport(msgspec.Struct, frozen=True):
@@ -24,11 +24,11 @@
 
     Attributes:
         load: Its load, relative to what its VM can carry.
-        resting: Whether it is out of rotation because of its load.
+        out_of_rotation: Whether it is out of rotation because of its load.
     """
 
     load: float
-    resting: bool
+    out_of_rotation: bool
 
 
 class Load(NamedTuple):
@@ -60,7 +60,7 @@
         """Returns the reports of the routers that respond."""
 
 
-def may_rest(
+def may_leave_rotation(
     load: float, reports: list[OverloadReport], router_count: int
 ) -> bool:
     """Returns whether a router may leave the rotation.
@@ -70,21 +70,24 @@
         reports: Reports of the other routers of the data centre that respond.
         router_count: Number of routers of the data centre, with this one.
     """
-    resting = sum(report.resting for report in reports)
-    if resting + 1 > router_count * defaults.RESTING_ROUTERS_MAX_FRACTION:
+    out_of_rotation = sum(report.out_of_rotation for report in reports)
+    if (
+        out_of_rotation + 1
+        > router_count * defaults.OUT_OF_ROTATION_MAX_FRACTION
+    ):
         return False
-    loads = [report.load for report in reports if not report.resting]
+    loads = [report.load for report in reports if not report.out_of_rotation]
     return bool(loads) and median(loads) < load * defaults.ROOM_LOAD_FRACTION
 
 
 class OverloadControl:
-    """Decides when a router rests, which means out of rotation.
+    """Decides when a router leaves the load balancer's rotation.
 
     A full link delays the others' answers as well, so a router asks for their
     reports before it is overloaded.
 
     Attributes:
-        resting: Whether it rests.
+        out_of_rotation: Whether it has left.
     """
 
     def __init__(
@@ -100,7 +103,7 @@
             clock: The reactor.
             measure: Returns the router's load.
             peers: The other routers of the data centre.
-            on_change: Called when the router begins or ends a rest.
+            on_change: Called when the router leaves or returns.
         """
         self._clock = clock
         self._measure = measure
@@ -110,10 +113,10 @@
         self._reports_valid_until = 0.0
         self._asking = False
         self._ask_at = 0.0
-        self._rest_until = 0.0
-        self._rest_s = defaults.REST_MIN_S
-        self._rested_at: float | None = None
-        self.resting = False
+        self._absent_until = 0.0
+        self._absence_s = defaults.ROTATION_ABSENCE_MIN_S
+        self._returned_at: float | None = None
+        self.out_of_rotation = False
 
     def start(self) -> None:
         """Starts the periodic review."""
@@ -121,16 +124,16 @@
 
     def report(self) -> OverloadReport:
         """Returns the report for the other routers."""
-        return OverloadReport(self._measure().relative, self.resting)
+        return OverloadReport(self._measure().relative, self.out_of_rotation)
 
     def review(self) -> None:
-        """Starts or ends a rest if the load has changed enough."""
+        """Leaves or returns if the load has changed enough."""
         load = self._measure()
-        if self.resting:
-            self._review_rest(load)
+        if self.out_of_rotation:
+            self._review_absence(load)
             return
         if load.relative > defaults.OVERLOAD_START_LOAD:
-            self._rest_if_allowed(load)
+            self._leave_if_allowed(load)
         if load.relative > defaults.OVERLOAD_WATCH_LOAD:
             self._ask_peers()
 
@@ -138,27 +141,27 @@
         self.review()
         self.start()
 
-    def _review_rest(self, load: Load) -> None:
-        if self._clock.seconds() < self._rest_until:
+    def _review_absence(self, load: Load) -> None:
+        if self._clock.seconds() < self._absent_until:
             return
         if load.relative < defaults.OVERLOAD_END_LOAD:
-            self._end_rest(load)
+            self._return_to_rotation(load)
 
-    def _rest_if_allowed(self, load: Load) -> None:
+    def _leave_if_allowed(self, load: Load) -> None:
         if self._clock.seconds() >= self._reports_valid_until:
             return
         router_count = 1 + self._peers.count()
-        if may_rest(load.relative, self._reports, router_count):
-            self._begin_rest(load)
+        if may_leave_rotation(load.relative, self._reports, router_count):
+            self._leave_rotation(load)
 
     def _ask_peers(self) -> None:
         """Asks the others for their reports unless that is not due yet."""
         now = self._clock.seconds()
         router_count = 1 + self._peers.count()
-        may_ever_rest = (
-            router_count * defaults.RESTING_ROUTERS_MAX_FRACTION >= 1
+        may_ever_leave = (
+            router_count * defaults.OUT_OF_ROTATION_MAX_FRACTION >= 1
         )
-        if self._asking or now < self._ask_at or not may_ever_rest:
+        if self._asking or now < self._ask_at or not may_ever_leave:
             return
         self._asking = True
         self._ask_at = now + defaults.OVERLOAD_ASK_INTERVAL_S
@@ -175,34 +178,36 @@
             self._clock.seconds() + defaults.OVERLOAD_REPORT_TTL_S
         )
 
-    def _begin_rest(self, load: Load) -> None:
+    def _leave_rotation(self, load: Load) -> None:
         now = self._clock.seconds()
-        rested_recently = (
-            self._rested_at is not None
-            and now < self._rested_at + defaults.REST_MEMORY_S
+        returned_recently = (
+            self._returned_at is not None
+            and now < self._returned_at + defaults.ROTATION_ABSENCE_MEMORY_S
         )
-        if rested_recently:
-            self._rest_s = min(2 * self._rest_s, defaults.REST_MAX_S)
+        if returned_recently:
+            self._absence_s = min(
+                2 * self._absence_s, defaults.ROTATION_ABSENCE_MAX_S
+            )
         else:
-            self._rest_s = defaults.REST_MIN_S
-        self._rest_until = now + self._rest_s
-        self.resting = True
-        rests_total.inc()
-        others = [(round(r.load, 2), r.resting) for r in self._reports]
-        self._emit("rests", load, others=others)
+            self._absence_s = defaults.ROTATION_ABSENCE_MIN_S
+        self._absent_until = now + self._absence_s
+        self.out_of_rotation = True
+        rotation_exits_total.inc()
+        others = [(round(r.load, 2), r.out_of_rotation) for r in self._reports]
+        self._emit("left_rotation", load, others=others)
         self._on_change()
 
-    def _end_rest(self, load: Load) -> None:
-        self._rested_at = self._clock.seconds()
-        self.resting = False
-        self._emit("returns", load)
+    def _return_to_rotation(self, load: Load) -> None:
+        self._returned_at = self._clock.seconds()
+        self.out_of_rotation = False
+        self._emit("returned", load)
         self._on_change()
 
     def _emit(self, event: str, load: Load, **fields) -> None:
         emit(
             "overload", event,
             link=round(load.link, 3), loop_delay_s=round(load.loop_delay_s, 3),
-            rest_s=self._rest_s, **fields,
+            absence_s=self._absence_s, **fields,
         )  # fmt: skip
 
 
--- a/chicorystack/gateway/process.py
+++ b/chicorystack/gateway/process.py
@@ -267,7 +267,7 @@
             bool(self._config.version)
             and self._registry.loaded
             and not self._draining
-            and not self._overload.resting
+            and not self._overload.out_of_rotation
         )
 
     def _measure_load(self) -> Load:
@@ -275,7 +275,7 @@
 
     def _update_site(self) -> None:
         """Closes callers' connections while they should move elsewhere."""
-        self._site.closing = self._draining or self._overload.resting
+        self._site.closing = self._draining or self._overload.out_of_rotation
 
     def _peer_resources(self) -> resource.Resource:
         root, api = resource.Resource(), resource.Resource()
--- a/chicorystack/observe/exposition.py
+++ b/chicorystack/observe/exposition.py
@@ -28,8 +28,8 @@
     registry=REGISTRY,
 )
 
-rests_total = Counter(
-    "chicory_rests",
+rotation_exits_total = Counter(
+    "chicory_rotation_exits",
     "Times that the router left the rotation because of its load",
     registry=REGISTRY,
 )
--- a/tests/gateway/test_overload.py
+++ b/tests/gateway/test_overload.py
@@ -17,7 +17,7 @@
     Load,
     OverloadControl,
     OverloadReport,
-    may_rest,
+    may_leave_rotation,
 )
 
 SLOW_LINK = 625_000.0
@@ -28,9 +28,9 @@
 STEP_S = 0.05
 
 
-def reports(*loads, resting=0):
+def reports(*loads, out_of_rotation=0):
     in_rotation = [OverloadReport(load, False) for load in loads]
-    return in_rotation + [OverloadReport(0.1, True)] * resting
+    return in_rotation + [OverloadReport(0.1, True)] * out_of_rotation
 
 
 class FakePeers:
@@ -63,19 +63,19 @@
         self.control.start()
 
     def _record_change(self):
-        self.changes.append(self.control.resting)
+        self.changes.append(self.control.out_of_rotation)
         self.changed_at.append(self.clock.seconds())
 
     def run(self, seconds):
         self.clock.pump([STEP_S] * round(seconds / STEP_S))
 
-    def rest_length(self):
-        """Returns how long the router rests once its callers have moved."""
+    def absence_length(self):
+        """Returns how long the router is absent once its callers have moved."""
         self.load = HIGH_LOAD
         self.run(defaults.OVERLOAD_ASK_INTERVAL_S + 1.0)
-        assert self.control.resting
+        assert self.control.out_of_rotation
         self.load = IDLE
-        while self.control.resting:
+        while self.control.out_of_rotation:
             self.run(STEP_S)
         began_at, ended_at = self.changed_at[-2:]
         return ended_at - began_at
@@ -86,14 +86,14 @@
     return Router(reports(*[0.1] * 7))
 
 
-def test_busy_router_rests_and_returns(router):
+def test_busy_router_leaves_the_rotation_and_returns(router):
     router.run(2.0)
     assert router.changes == []
     router.load = HIGH_LOAD
     router.run(0.5)
     assert router.changes == [True]
-    router.run(defaults.REST_MIN_S + 1.0)
-    assert router.control.resting, "its callers have not moved yet"
+    router.run(defaults.ROTATION_ABSENCE_MIN_S + 1.0)
+    assert router.control.out_of_rotation, "its callers have not moved yet"
     router.load = IDLE
     router.run(0.5)
     assert router.changes == [True, False]
@@ -103,59 +103,63 @@
     between = (defaults.OVERLOAD_START_LOAD + defaults.OVERLOAD_END_LOAD) / 2
     router.load = Load(between, 0.0)
     router.run(5.0)
-    assert not router.control.resting
+    assert not router.control.out_of_rotation
     router.load = HIGH_LOAD
     router.run(1.0)
     router.load = Load(between, 0.0)
-    router.run(defaults.REST_MIN_S + 5.0)
-    assert router.control.resting
+    router.run(defaults.ROTATION_ABSENCE_MIN_S + 5.0)
+    assert router.control.out_of_rotation
 
 
-def test_rests_grow_while_the_callers_come_back_each_time(router):
-    lengths = [router.rest_length() for _ in range(5)]
+def test_absences_grow_while_the_callers_come_back_each_time(router):
+    lengths = [router.absence_length() for _ in range(5)]
     for shorter, longer in itertools.pairwise(lengths):
         assert longer > shorter - 2 * STEP_S
     assert lengths[1] > 1.5 * lengths[0]
-    assert max(lengths) <= defaults.REST_MAX_S + 1.0
-    router.run(defaults.REST_MEMORY_S + 1.0)
-    assert router.rest_length() < lengths[1]
+    assert max(lengths) <= defaults.ROTATION_ABSENCE_MAX_S + 1.0
+    router.run(defaults.ROTATION_ABSENCE_MEMORY_S + 1.0)
+    assert router.absence_length() < lengths[1]
 
 
 def test_late_event_loop_is_a_load_as_well(router):
     router.load = Load(0.0, 2 * defaults.LOOP_DELAY_FULL_LOAD_S)
     router.run(0.5)
-    assert router.control.resting
+    assert router.control.out_of_rotation
 
 
 def test_router_asks_the_others_only_now_and_then():
     router = Router(reports(*[2.0] * 7))
     router.load = HIGH_LOAD
     router.run(5.0)
-    assert not router.control.resting
+    assert not router.control.out_of_rotation
     assert router.peers.asked <= 5.0 / defaults.OVERLOAD_ASK_INTERVAL_S + 1
 
 
-def test_only_router_of_a_data_centre_never_rests():
+def test_only_router_of_a_data_centre_stays_in_rotation():
     router = Router([])
     router.load = HIGH_LOAD
     router.run(5.0)
-    assert not router.control.resting
+    assert not router.control.out_of_rotation
     assert router.peers.asked == 0
 
 
-def test_no_router_rests_while_the_others_are_as_busy():
-    assert not may_rest(1.0, reports(*[0.9] * 7), 8)
-    assert may_rest(1.0, reports(*[0.2] * 7), 8)
+def test_no_router_leaves_while_the_others_are_as_busy():
+    assert not may_leave_rotation(1.0, reports(*[0.9] * 7), 8)
+    assert may_leave_rotation(1.0, reports(*[0.2] * 7), 8)
 
 
-def test_number_of_resting_routers_is_limited():
-    limit = int(8 * defaults.RESTING_ROUTERS_MAX_FRACTION)
-    assert may_rest(1.0, reports(*[0.1] * 5, resting=limit - 1), 8)
-    assert not may_rest(1.0, reports(*[0.1] * 5, resting=limit), 8)
+def test_number_of_routers_out_of_rotation_is_limited():
+    limit = int(8 * defaults.OUT_OF_ROTATION_MAX_FRACTION)
+    assert may_leave_rotation(
+        1.0, reports(*[0.1] * 5, out_of_rotation=limit - 1), 8
+    )
+    assert not may_leave_rotation(
+        1.0, reports(*[0.1] * 5, out_of_rotation=limit), 8
+    )
 
 
 def test_routers_that_do_not_respond_have_no_room():
-    assert not may_rest(1.0, [], 8)
+    assert not may_leave_rotation(1.0, [], 8)
 
 
 def test_router_that_fails_to_ask_stays_in_rotation(router):
@@ -165,7 +169,7 @@
     router.peers.fetch_reports = fail
     router.load = HIGH_LOAD
     router.run(3.0)
-    assert not router.control.resting
+    assert not router.control.out_of_rotation
 
 
 def test_answers_of_the_others_may_take_time(router):
@@ -181,7 +185,7 @@
     assert len(answers) == 1
     answers[0].callback(router.peers.reports)
     router.run(4 * STEP_S)
-    assert router.control.resting
+    assert router.control.out_of_rotation
 
 
 def test_router_that_gets_busy_soon_has_asked_the_others_before(router):
@@ -191,7 +195,7 @@
     router.peers.fetch_reports = defer.Deferred
     router.load = HIGH_LOAD
     router.run(4 * STEP_S)
-    assert router.control.resting
+    assert router.control.out_of_rotation
 
 
 def test_old_reports_of_the_others_are_not_used(router):
@@ -202,7 +206,7 @@
     router.peers.fetch_reports = defer.Deferred
     router.load = HIGH_LOAD
     router.run(1.0)
-    assert not router.control.resting
+    assert not router.control.out_of_rotation
 
 
 @pytest.mark.parametrize(
