--- a/bench/platform_fleet.py
+++ b/bench/platform_fleet.py
@@ -243,10 +243,13 @@
         router: str,
         request_id: str,
         tokens: str = "20,40",
+        parts: str = "",
         **options: str,
     ) -> Reply:
         """Sends a request for a stream of ten events through a router."""
         headers = {"X-Chicorystack-Token-Usage": tokens}
+        if parts:
+            headers["X-Chicorystack-Prompt-Prefix"] = parts
         return self.call(router, "/ask/1", request_id, headers, **options)
 
     def read_events(self, router: str) -> list[dict]:
--- a/chicorystack/platform/standin/engine.py
+++ b/chicorystack/platform/standin/engine.py
@@ -39,6 +39,10 @@
             nowhere.
         crash_on: Text; a request whose path contains it ends the process.
             Empty for none.
+        crash_on_part: ID of a prompt part; a stream whose prompt contains it
+            ends the process as it begins. Empty for none.
+        unframed: Whether responses have neither a length nor chunks and end
+            with their connection.
     """
 
     shed: bool = False
@@ -54,6 +58,8 @@
     retry_after: str = ""
     endless: str = ""
     crash_on: str = ""
+    crash_on_part: str = ""
+    unframed: bool = False
 
 
 class EngineCounts(msgspec.Struct):
@@ -162,7 +168,10 @@
         if self._faults.fail:
             request.setResponseCode(500)
         body = msgspec.json.encode({"engine": self._engine_id})
-        request.setHeader("content-length", str(len(body)))
+        if self._faults.unframed:
+            _make_unframed(request)
+        else:
+            request.setHeader("content-length", str(len(body)))
         transport = request.transport
         request.write(body)
         request.finish()
@@ -181,6 +190,12 @@
         last = math.ceil(output / TOKENS_PER_EVENT)
         self._counts.tokens += prompt if first == 1 else 0
         request.setHeader("content-type", "text/event-stream")
+        if self._faults.unframed:
+            _make_unframed(request)
+        if self._faults.crash_on_part in _prompt_part_ids(request):
+            request.write(b"")
+            await task.deferLater(self._reactor, EVENT_INTERVAL_S)
+            os._exit(1)
         self._running += 1
         try:
             await self._send_events(request, first, last)
@@ -233,5 +248,18 @@
     return b"\r\n".join(lines) + b"\r\n\r\n" + body
 
 
+def _make_unframed(request: server.Request) -> None:
+    """Lets a response have no length and no chunks, and end the connection."""
+    request.clientproto = b"HTTP/1.0"
+    request.setHeader("connection", "close")
+    request.channel.persistent = False
+
+
+def _prompt_part_ids(request: server.Request) -> list[str]:
+    """Returns the IDs of a request's prompt parts."""
+    prefix = request.getHeader("X-Chicorystack-Prompt-Prefix") or ""
+    return [part.partition(":")[0] for part in prefix.split(",") if part]
+
+
 def _request_id(request: server.Request) -> str:
     return request.getHeader("X-Chicorystack-Request-Attempt-Id") or ""
