Treat a stream that its target breaks off by a close as a possible crash

A response without a length ends with its connection. If that was inside an event, or before the first one, no crash was looked for, and a stream without any event was passed on as whole and cleared the strikes of its request. The two cases of test_stream_broken_off_by_a_close_may_be_a_crash failed before and pass.

--- a/chicorystack/gateway/attempt.py
+++ b/chicorystack/gateway/attempt.py
@@ -238,10 +238,15 @@
             self._progress.writer.send(b"".join(new_events))
 
     def _end_stream(self) -> AttemptResult:
+        problem = None
         if self._splitter.incomplete:
+            problem = "the stream ended in the middle of an event"
+        elif not self._progress.last_event_id and not self.has_sent_events:
+            problem = "the stream ended before its first event"
+        if problem is not None:
+            # Without a length, this is how a crash looks.
             return self._result(
-                AttemptOutcome.BROKEN,
-                "the stream ended in the middle of an event",
+                AttemptOutcome.BROKEN, problem, connection_lost=True
             )
         self._progress.start(self._head)
         self._progress.writer.end()
--- a/tests/gateway/test_attempt_progress.py
+++ b/tests/gateway/test_attempt_progress.py
@@ -109,3 +109,20 @@
     harness = Harness(FakeCodec(), CallKind.IDEMPOTENT)
     harness.trickle([b"x"] * 50, 0.2)
     assert harness.outcome is None
+
+
+# Guards against a crash going unnoticed where the response has no length: its
+# end then only shows as the end of the connection.
+@pytest.mark.parametrize("tail", [b"", b"id: 4\nda"])
+def test_stream_broken_off_by_a_close_may_be_a_crash(stream, tail):
+    stream.trickle([*events(3), tail] if tail else [], 0.0)
+    stream.attempt.exchange_ended(None)
+    (result,) = stream.results
+    assert result.outcome is AttemptOutcome.BROKEN
+    assert result.connection_lost
+
+
+def test_stream_that_ends_after_a_whole_event_is_delivered(stream):
+    stream.trickle(events(3), 0.0)
+    stream.attempt.exchange_ended(None)
+    assert stream.outcome is AttemptOutcome.DELIVERED
