--- a/chicorystack/budget/announcer.py
+++ b/chicorystack/budget/announcer.py
@@ -29,6 +29,8 @@
         self._peers = peers
         self._process_by_router: dict[str, str] = {}
         self._skip_until_by_router: dict[str, float] = {}
+        # Ranking them takes long where there are hundreds of routers.
+        self._candidates: list[str] = []
         self._lock = defer.DeferredLock()
         # Rounds of notices that have begun.
         self._rounds = 0
@@ -37,11 +39,12 @@
     def start(self) -> None:
         """Starts to announce limits at regular intervals.
 
-        These notices find out which routers answer, and under which process.
+        The notices also find out which routers answer, and as which process.
         """
         self._next_round = self._clock.callLater(
             defaults.ANNOUNCE_INTERVAL_S, self.start
         )
+        self._candidates = self._peers.witness_candidates()
         self.announce_soon()
 
     def stop(self) -> None:
@@ -130,7 +133,7 @@
         now = self._clock.seconds()
         responsive = [
             router
-            for router in self._peers.witness_candidates()
+            for router in self._candidates
             if now >= self._skip_until_by_router.get(router, 0.0)
         ]
         return responsive[: defaults.MAX_WITNESSES]
--- a/chicorystack/budget/witnesses.py
+++ b/chicorystack/budget/witnesses.py
@@ -114,6 +114,9 @@
         stored = self._limits_by_witness.setdefault(witness, {})
         for customer, limit in limit_by_customer.items():
             stored[customer] = max(limit, stored.get(customer, 0))
+        # A forgotten limit can only lower the tokens that may be used.
+        while len(self._limits_by_witness) > defaults.MAX_KNOWN_WITNESSES:
+            del self._limits_by_witness[next(iter(self._limits_by_witness))]
 
     def acknowledged(self, customer: str, witnesses: tuple[Holder, ...]) -> int:
         """Returns the highest limit that a write quorum has stored."""
--- a/chicorystack/defaults.py
+++ b/chicorystack/defaults.py
@@ -327,6 +327,8 @@
 GRANT_RESTORE_DELAY_S = 1.5
 # Witnesses of the limits up to which a router uses its grants.
 MAX_WITNESSES = 3
+# Processes, also former ones, whose stored limits a router remembers.
+MAX_KNOWN_WITNESSES = 32
 # Use that an announcement covers: this time's use plus this many calls.
 ANNOUNCE_AHEAD_S = 1.0
 ANNOUNCE_AHEAD_CALLS = 2.0
