Move the search for a waiting call's tokens out of GrantPartition

grant_partition.py had grown to 483 lines with two jobs: the store's records, and what waiting calls do.

--- a/chicorystack/budget/grant_partition.py
+++ b/chicorystack/budget/grant_partition.py
@@ -1,7 +1,7 @@
-"""The grants of one log partition: reads, appends and waiting calls."""
+"""The grants of one log partition: reads and appends."""
 
 import random
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 from typing import NamedTuple
 
 from twisted.internet import defer, task
@@ -9,17 +9,13 @@
 from chicorystack import defaults
 from chicorystack.budget.announcer import LimitAnnouncer
 from chicorystack.budget.borrower import Borrower
-from chicorystack.budget.grant_queue import (
-    GrantError,
-    GrantQueue,
-    WaitingCall,
-)
 from chicorystack.budget.grant_records import (
     GrantLedger,
     GrantReservation,
     split_key,
 )
 from chicorystack.budget.grants import ProcessGrants
+from chicorystack.budget.token_search import TokenSearch
 from chicorystack.observe.events import emit
 from chicorystack.store.keyed_log import (
     ConflictError,
@@ -45,7 +41,11 @@
 
 
 class GrantPartition:
-    """Reads and writes the grants of one partition's customers."""
+    """Reads and writes the grants of one partition's customers.
+
+    Attributes:
+        ledger: The partition's grants, as read so far.
+    """
 
     def __init__(
         self,
@@ -64,13 +64,10 @@
         self._borrower = borrower
         self._announcer = announcer
         self._router_count = router_count
-        self._ledger = GrantLedger()
+        self.ledger = GrantLedger()
         self._era = 0
         self._customers: list[str] = []
-        self._queue = GrantQueue(grants)
-        # Customers for whose waiting calls tokens are being announced or
-        # borrowed.
-        self._asking: set[str] = set()
+        self._search = TokenSearch(clock, grants, borrower, announcer, self)
         self._running = False
         self._review_again = False
         # Whether the partition may have new records since the last read.
@@ -86,6 +83,11 @@
         """Whether several calls to the store have failed in a row."""
         return self._consecutive_failures >= defaults.STORE_LOST_AFTER_FAILURES
 
+    @property
+    def store_failing(self) -> bool:
+        """Whether the last call to the store has failed."""
+        return self._consecutive_failures > 0
+
     def set_customers(self, customers: list[str]) -> None:
         """Sets the customers that belong to the partition."""
         self._customers = customers
@@ -100,68 +102,7 @@
         self, customer: str, tokens: int, deadline: float
     ) -> GrantReservation:
         """Reserves tokens; see GrantClient.reserve."""
-        account = self._grants.account_by_customer[customer]
-        if not account.wanted and account.reserve(tokens):
-            if account.should_announce_ahead:
-                self._announcer.announce_soon()
-            return GrantReservation(customer, tokens)
-        if (
-            self.store_lost
-            and tokens > account.free_if_announced
-            and not self._borrower.may_borrow(customer)
-        ):
-            raise GrantError(
-                f"not enough tokens for {customer}: {tokens} requested, "
-                f"{account.free} free of {account.granted} granted, "
-                f"{account.in_use} in use; the store is unreachable and no "
-                f"other router could lend enough",
-                exhausted=False,
-                retry_after_s=account.estimate_wait_s(tokens),
-            )
-        call = self._queue.add(customer, tokens)
-        timer = self._clock.callLater(
-            max(0.0, deadline - self._clock.seconds()),
-            self._refuse_no_grant,
-            call,
-        )
-        if account.lacks_announcement:
-            self._ask(customer, self._announce_and_obtain)
-        else:
-            self._obtain(customer)
-        try:
-            await call.ready
-        finally:
-            if timer.active():
-                timer.cancel()
-            self._queue.remove(call)
-        return GrantReservation(customer, tokens)
-
-    def _obtain(self, customer: str) -> None:
-        """Starts to obtain the tokens that waiting calls lack."""
-        if self._consecutive_failures:
-            self._borrow_for_queue()
-        if self._borrower.has_near_holder(customer):
-            self._ask(customer, self._borrow_or_review)
-        else:
-            self.review()
-
-    async def _announce_and_obtain(self, customer: str) -> None:
-        """Announces a higher limit for waiting calls.
-
-        Obtains more tokens if the calls still lack some.
-        """
-        account = self._grants.account_by_customer[customer]
-        try:
-            while account.lacks_announcement:
-                free = account.free
-                await self._announcer.announce()
-                self._queue.serve()
-                if account.free <= free:
-                    break
-        finally:
-            self._asking.discard(customer)
-        if self._queue.calls(customer):
-            self._obtain(customer)
+        return await self._search.reserve(customer, tokens, deadline)
 
     def review(self) -> None:
         """Starts to write the records that are due.
@@ -180,7 +121,7 @@
     def is_low(self, customer: str) -> bool:
         """Returns whether the records read show that a budget runs low."""
         account = self._grants.account_by_customer[customer]
-        left = account.prepaid - self._ledger.committed(customer)
+        left = account.prepaid - self.ledger.committed(customer)
         return left < account.prepaid * defaults.GRANT_LOW_FRACTION
 
     async def release_unused(self) -> None:
@@ -205,9 +146,9 @@
         """Reads if necessary, then writes; returns whether to do so again."""
         self._note_era()
         try:
-            if self._ledger.end is None or self._stale:
+            if self.ledger.end is None or self._stale:
                 await self._read_log()
-                if self._ledger.end is None:
+                if self.ledger.end is None:
                     return True
                 await self._ask_about_predecessors()
             return await self._append_records()
@@ -217,7 +158,7 @@
             self._stale = True
             delay_s = random.uniform(0, self._conflict_delay_s())
         except HistoryGoneError:
-            self._ledger.end = None
+            self.ledger.end = None
             return True
         except StoreError as error:
             delay_s = self._handle_failure(error)
@@ -236,10 +177,10 @@
             return False
         emit(
             "budget", "new_era", partition=self._partition.number,
-            before=before, now=self._era, end=self._ledger.end,
+            before=before, now=self._era, end=self.ledger.end,
         )  # fmt: skip
         self._unconfirmed = None
-        self._ledger.enter_era()
+        self.ledger.enter_era()
         self._grants.enter_era()
         asking = defer.ensureDeferred(self._ask_for_grants())
         asking.addErrback(_log_failure, self._partition)
@@ -254,7 +195,7 @@
         for key, record in await self._borrower.fetch_grants():
             customer, _ = split_key(key)
             if customer in self._customers:
-                self._ledger.add_earlier(key, record)
+                self.ledger.add_earlier(key, record)
 
     async def _ask_about_predecessors(self) -> None:
         """Asks witnesses how much earlier processes of this VM can have used.
@@ -263,7 +204,7 @@
         been delayed.
         """
         records = self._grants.predecessors_records(
-            self._ledger, self._customers
+            self.ledger, self._customers
         )
         if records:
             await self._announcer.ask_about_predecessors(records)
@@ -274,22 +215,22 @@
         If no call is waiting, it grows with the number of routers, so that
         routers with waiting calls are likely to append first.
         """
-        if self._queue:
+        if self._search.waiting:
             return defaults.GRANT_CONFLICT_DELAY_MAX_S
         return defaults.GRANT_CONFLICT_DELAY_S_PER_ROUTER * self._router_count()
 
     async def _read_log(self) -> None:
-        if self._ledger.end is None:
+        if self.ledger.end is None:
             found = await self._log.read_newest(self._partition)
             if self._note_era():
                 return
-            self._ledger.load(found.records, found.end)
+            self.ledger.load(found.records, found.end)
         else:
-            start = self._ledger.end
+            start = self.ledger.end
             found = await self._log.read(self._partition, start, 0.0)
             if self._note_era():
                 return
-            self._ledger.apply(found.records, found.end)
+            self.ledger.apply(found.records, found.end)
         self._stale = False
         self._read_in_review = True
         self._handle_success()
@@ -317,10 +258,10 @@
         self._stale = False
         self._read_in_review = True
         self._handle_success()
-        self._ledger.apply(append.records, offset + len(append.records))
+        self.ledger.apply(append.records, offset + len(append.records))
         self._apply_ledger()
         self._log_grants(append.records)
-        return bool(self._queue)
+        return bool(self._search.waiting)
 
     def _next_append(self) -> "_ConditionalAppend | None":
         """Returns the next append; None if no record is due.
@@ -332,124 +273,45 @@
         unconfirmed = self._unconfirmed
         if (
             unconfirmed is not None
-            and unconfirmed.expected_end == self._ledger.end
+            and unconfirmed.expected_end == self.ledger.end
         ):
             return unconfirmed
         self._unconfirmed = None
         records = self._grants.due_records(
-            self._ledger, self._customers, max(1, self._router_count())
+            self.ledger, self._customers, max(1, self._router_count())
         )
         due = list(records)
-        return _ConditionalAppend(due, self._ledger.end) if due else None
+        return _ConditionalAppend(due, self.ledger.end) if due else None
 
     def _finish_review(self) -> bool:
         """Handles a step with no record due; returns whether to go on.
 
         Waiting calls are refused only after a read in the same review.
         """
-        if not self._queue:
+        if not self._search.waiting:
             return False
         if self._read_in_review:
-            self._handle_unservable()
+            self._search.handle_unservable()
             return False
         self._stale = True
         return True
 
     def _apply_ledger(self) -> None:
-        self._grants.update_from_ledger(self._ledger)
-        self._queue.serve()
-
-    def _ask(
-        self, customer: str, ask: Callable[[str], Awaitable[None]]
-    ) -> None:
-        """Starts to ask other routers for a customer, if not begun."""
-        if customer in self._asking:
-            return
-        self._asking.add(customer)
-        asking = defer.ensureDeferred(ask(customer))
-        asking.addErrback(_log_failure, self._partition)
-
-    async def _borrow_or_review(self, customer: str) -> None:
-        """Borrows from the holders of the data centre.
-
-        For calls that still lack tokens, the router then obtains a grant of its
-        own and asks further routers meanwhile: this may be how it learns that
-        the store is unreachable.
-        """
-        borrower = self._borrower
-        try:
-            if not await borrower.borrow_nearby(customer, self._ledger):
-                self.review()
-                if borrower.may_borrow(customer):
-                    await borrower.borrow(customer, self._ledger)
-        finally:
-            self._asking.discard(customer)
-        self._queue.serve()
-
-    def _borrow_for_queue(self) -> None:
-        """Starts to borrow the tokens that waiting calls lack."""
-        for customer in self._queue.customers():
-            self._ask(customer, self._borrow)
-
-    async def _borrow(self, customer: str) -> None:
-        """Borrows tokens for a customer; refuses the calls still unserved.
-
-        They keep waiting if calls to the store have failed, but too few in a
-        row for the store to count as lost.
-        """
-        try:
-            if self._borrower.may_borrow(customer):
-                await self._borrower.borrow(customer, self._ledger)
-        finally:
-            self._asking.discard(customer)
-        self._queue.serve()
-        for call in self._queue.calls(customer):
-            if self.store_lost:
-                self._refuse_no_grant(call)
-            elif not self._consecutive_failures:
-                self._refuse_no_tokens(call)
-
-    def _handle_unservable(self) -> None:
-        """Refuses calls that the budget cannot cover; borrows for the rest."""
-        for call in self._queue.calls():
-            if call.tokens > self._max_remaining(call.customer):
-                self._refuse_no_tokens(call)
-        self._borrow_for_queue()
-
-    def _max_remaining(self, customer: str) -> int:
-        """Returns the most tokens that can be left of a budget."""
-        account = self._grants.account_by_customer[customer]
-        return account.prepaid - self._ledger.spent(customer)
-
-    def _refuse_no_tokens(self, call: WaitingCall) -> None:
-        left = self._max_remaining(call.customer)
-        prepaid = self._grants.account_by_customer[call.customer].prepaid
-        error = GrantError(
-            f"{call.tokens} tokens are not available; at most "
-            f"{left} of {prepaid} are left",
-            exhausted=call.tokens > left,
-            retry_after_s=defaults.GRANT_EXHAUSTED_RETRY_S,
-        )
-        self._queue.refuse(call, error)
-
-    def _refuse_no_grant(self, call: WaitingCall) -> None:
-        account = self._grants.account_by_customer[call.customer]
-        wait_s = account.estimate_wait_s(call.tokens)
-        error = GrantError("no tokens were granted in time", False, wait_s)
-        self._queue.refuse(call, error)
+        self._grants.update_from_ledger(self.ledger)
+        self._search.serve()
 
     def _handle_failure(self, error: StoreError) -> float:
         """Counts a failed call; returns the seconds until the next one."""
         self._consecutive_failures += 1
         self._stale = True
         # The limit may have risen in the meantime.
-        self._queue.serve()
+        self._search.serve()
         if self._consecutive_failures == defaults.STORE_LOST_AFTER_FAILURES:
             emit(
                 "budget", "store_lost", partition=self._partition.number,
-                reason=str(error), waiting=len(self._queue),
+                reason=str(error), waiting=self._search.waiting,
             )  # fmt: skip
-        self._borrow_for_queue()
+        self._search.borrow()
         return backoff_delay(
             self._consecutive_failures, defaults.STORE_RETRY_MAX_S
         )
@@ -470,7 +332,7 @@
             "budget",
             "granted",
             partition=self._partition.number,
-            end=self._ledger.end,
+            end=self.ledger.end,
             prepaid=self._prepaid_by_customer(),
             records={r.key: r.value.decode() for r in records},
         )
