Start a router's grants as soon as enough witnesses have reported

A starting router waited up to a second for a witness that was down, though the others had settled the matter; a lender waited longer for witnesses than its borrower for it.

--- a/chicorystack/budget/announcer.py
+++ b/chicorystack/budget/announcer.py
@@ -1,6 +1,6 @@
 """Announces this process's limits to its witnesses: see `witnesses`."""
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 from twisted.internet import defer, task
 
@@ -60,7 +60,8 @@
     async def announce(self) -> None:
         """Announces the limits that all customers' calls need now.
 
-        Returns once enough witnesses have stored them, or all have been asked.
+        Returns once enough witnesses have stored them, or all have been asked,
+        and after ANNOUNCE_WAIT_S at the latest.
         """
         rounds = self._rounds
         await self._lock.acquire()
@@ -82,23 +83,45 @@
             self._holder.process,
             self._grants.limits_to_announce(),
         )
-        enough_stored = defer.Deferred()
-
-        def check(_result) -> None:
-            if not self._grants.lacks_announcement() and (
-                not enough_stored.called
-            ):
-                enough_stored.callback(None)
-
         sending = [
-            defer.ensureDeferred(self._send(router, notice)).addCallback(check)
+            defer.ensureDeferred(self._send(router, notice))
             for router in routers
         ]
+        enough = self._wait_until(
+            lambda: not self._grants.lacks_announcement(),
+            sending,
+            defaults.ANNOUNCE_WAIT_S,
+        )
         all_ended = defer.DeferredList(sending, consumeErrors=True)
         all_ended.addCallback(self._finish_round)
-        await defer.DeferredList(
-            [enough_stored, all_ended], fireOnOneCallback=True
-        )
+        await enough
+
+    def _wait_until(
+        self,
+        is_enough: Callable[[], bool],
+        pending: list[defer.Deferred],
+        timeout_s: float,
+    ) -> "defer.Deferred[None]":
+        """Returns a Deferred that fires once enough has been received.
+
+        It fires at the latest when all of `pending` have ended, or after a
+        timeout.
+        """
+        done: defer.Deferred[None] = defer.Deferred()
+        timer = self._clock.callLater(timeout_s, done.callback, None)
+        left = len(pending)
+
+        def check(result):
+            nonlocal left
+            left -= 1
+            if not done.called and (not left or is_enough()):
+                timer.cancel()
+                done.callback(None)
+            return result
+
+        for deferred in pending:
+            deferred.addBoth(check)
+        return done
 
     def _finish_round(self, results: list[tuple[bool, object]]) -> None:
         for succeeded, failure in results:
@@ -141,16 +164,36 @@
     async def ask_about_predecessors(self, records: list[GrantRecord]) -> None:
         """Asks witnesses about earlier processes of this VM, each once.
 
+        Returns once it is settled which of the records have enough reports.
+
         Args:
             records: Records of this router that earlier processes have written.
         """
         asking = [
             defer.ensureDeferred(self._ask(process, witness))
-            for process, witness in dict.fromkeys(_sources(records))
-            if self._grants.predecessors.is_missing(process, witness)
+            for process, witness in dict.fromkeys(self._open_sources(records))
         ]
+        for pending in asking:
+            pending.addErrback(_log_failure)
         if asking:
-            await defer.gatherResults(asking, consumeErrors=True)
+            await self._wait_until(
+                lambda: not any(self._open_sources(records)),
+                asking,
+                2 * defaults.PREDECESSOR_REPORT_WAIT_S,
+            )
+
+    def _open_sources(
+        self, records: list[GrantRecord]
+    ) -> Iterator[tuple[str, Holder]]:
+        """Yields earlier processes with the witnesses still to be asked."""
+        predecessors = self._grants.predecessors
+        for record in records:
+            process, terms = record["process"], record["terms"]
+            if predecessors.is_settled(process, terms):
+                continue
+            for witness in terms.witnesses:
+                if predecessors.is_missing(process, witness):
+                    yield process, witness
 
     async def _ask(self, process: str, witness: Holder) -> None:
         report = await self._fetch_report(process, witness.router)
@@ -180,12 +223,5 @@
         return None
 
 
-def _sources(records: list[GrantRecord]) -> Iterator[tuple[str, Holder]]:
-    """Yields the earlier processes with each of their witnesses."""
-    for record in records:
-        for witness in record["terms"].witnesses:
-            yield record["process"], witness
-
-
 def _log_failure(failure) -> None:
     emit("budget", "failed", reason=failure.getTraceback())
--- a/chicorystack/budget/witnesses.py
+++ b/chicorystack/budget/witnesses.py
@@ -195,6 +195,13 @@
             limits = report.limit_by_customer
         self._limits_by_source[_Source(process, witness)] = limits
 
+    def is_settled(self, process: str, terms: GrantTerms) -> bool:
+        """Returns whether there are enough reports, or never will be."""
+        needed = read_quorum(len(terms.witnesses))
+        missing = sum(self.is_missing(process, w) for w in terms.witnesses)
+        found = len(self._reports(process, terms))
+        return found >= needed or found + missing < needed
+
     def bound(self, customer: str, process: str, terms: GrantTerms) -> int:
         """Returns the most tokens that an earlier process can have announced.
 
@@ -206,14 +213,16 @@
         Returns:
             The whole grant if there are too few reports.
         """
+        reports = self._reports(process, terms)
+        if not reports or len(reports) < read_quorum(len(terms.witnesses)):
+            return terms.granted
+        announced = (limits.get(customer, 0) for limits in reports)
+        return max(terms.first_limit, *announced)
+
+    def _reports(self, process: str, terms: GrantTerms) -> list[dict[str, int]]:
+        """Returns the limits by customer that each witness has reported."""
         found = (
             self._limits_by_source.get(_Source(process, witness))
             for witness in terms.witnesses
         )
-        reports = [limits for limits in found if limits is not None]
-        if not terms.witnesses or len(reports) < read_quorum(
-            len(terms.witnesses)
-        ):
-            return terms.granted
-        announced = (limits.get(customer, 0) for limits in reports)
-        return max(terms.first_limit, *announced)
+        return [limits for limits in found if limits is not None]
--- a/chicorystack/defaults.py
+++ b/chicorystack/defaults.py
@@ -336,6 +336,8 @@
 ANNOUNCE_LOW_S = 0.25
 # Interval of announcements while no call needs one.
 ANNOUNCE_INTERVAL_S = 2.0
+# Longest wait for witnesses; shorter than a borrower waits for its lender.
+ANNOUNCE_WAIT_S = 0.08
 # Time for which a router that did not answer is not used as a witness.
 WITNESS_UNRESPONSIVE_S = 2.0
 # Processes of one router whose limits a witness keeps.
