--- a/Makefile
+++ b/Makefile
@@ -29,10 +29,12 @@
 chaos: install
 	$(BIN)/python -m bench.chaos --seed=$(SEED) --seconds=$(SECONDS)
 
-# Runs the budgets' state machine test with one random seed after another.
+# Runs a state machine test of budgets with one random seed after another:
+# MACHINE=budget for the own interface, MACHINE=grants for the platform.
 MINUTES ?= 10
+MACHINE ?= budget
 soak: install
-	$(BIN)/python -m bench.soak --seed=$(SEED) --minutes=$(MINUTES)
+	$(BIN)/python -m bench.soak --seed=$(SEED) --minutes=$(MINUTES) --machine=$(MACHINE)
 
 format: install
 	$(BIN)/ruff format .
--- a/bench/soak.py
+++ b/bench/soak.py
@@ -1,4 +1,4 @@
-"""`make soak`: long randomised runs of the budget state machine."""
+"""`make soak`: long randomised runs of the budgets' state machines."""
 
 import time
 
@@ -6,30 +6,34 @@
 from hypothesis import HealthCheck, seed, settings
 from hypothesis.stateful import run_state_machine_as_test
 
+from tests.budget.grant_machine import GrantMachine
 from tests.budget.machine import BudgetMachine
 
+# `budget` is that of the own interface, `grants` that of the platform.
+MACHINE_BY_NAME = {"budget": BudgetMachine, "grants": GrantMachine}
 EXAMPLES_PER_SEED = 25
 STEPS = 40
 
 
-def soak(seed: int = 1, minutes: float = 10) -> None:
+def soak(seed: int = 1, minutes: float = 10, machine: str = "budget") -> None:
     """Runs consecutive seeds until the time is up.
 
     Args:
         seed: The first seed.
         minutes: Time after which no further seed is started.
+        machine: The state machine: `budget` or `grants`.
     """
     end_at = time.monotonic() + minutes * 60
     while True:
-        _run_seed(seed)
+        _run_seed(seed, machine)
         print(f"seed {seed}: {EXAMPLES_PER_SEED} examples passed", flush=True)
         seed += 1
         if time.monotonic() >= end_at:
             return
 
 
-def _run_seed(number: int) -> None:
-    machine = seed(number)(type("SeededBudgetMachine", (BudgetMachine,), {}))
+def _run_seed(number: int, name: str) -> None:
+    machine = seed(number)(type("SeededMachine", (MACHINE_BY_NAME[name],), {}))
     try:
         run_state_machine_as_test(
             machine,
@@ -42,7 +46,10 @@
             ),
         )
     except BaseException:
-        print(f"reproduce with: make soak SEED={number} MINUTES=0", flush=True)
+        print(
+            f"reproduce with: make soak SEED={number} MINUTES=0 MACHINE={name}",
+            flush=True,
+        )
         raise
 
 
