--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON ?= python3
 BIN := $(VENV)/bin
 
-.PHONY: install demo platform-demo test format capacity chaos soak
+.PHONY: install demo platform-demo test format capacity chaos soak platform-soak
 
 $(VENV)/.installed: pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -36,6 +36,10 @@
 soak: install
 	$(BIN)/python -m bench.soak --seed=$(SEED) --minutes=$(MINUTES) --machine=$(MACHINE)
 
+# Runs random faults on real routers and stand-ins of the users' platform.
+platform-soak: install
+	$(BIN)/python -m bench.platform_soak --seed=$(SEED) --seconds=$(SECONDS)
+
 format: install
 	$(BIN)/ruff format .
 	$(BIN)/ruff check --fix .
--- a/bench/platform_fleet.py
+++ b/bench/platform_fleet.py
@@ -159,6 +159,11 @@
         """Starts a router without waiting until it is ready."""
         ports = RouterPorts(free_port(), free_port(), free_port(INTERNAL_PORTS))
         self.ports_by_router[name] = ports
+        self.restart_router(name)
+
+    def restart_router(self, name: str) -> None:
+        """Starts a router that has exited again, on the same ports."""
+        ports = self.ports_by_router[name]
         settings = {
             "NodeName": name,
             "NodeIp": LOOPBACK,
