--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -27,6 +27,9 @@
 FLEET_TOKEN = "development-token"
 BIN = Path(sys.executable).parent
 LISTEN_PORTS = (10_000, 32_000)
+PORTS_PER_SLOT = 1_000
+# Attempts to find free ports before another slot is claimed.
+PICKS_PER_SLOT = 50
 allocated_ports: set[int] = set()
 interrupts = InterruptHandler()
 
@@ -67,6 +70,46 @@
     proxy: int
 
 
+class PortSlots:
+    """Slots of listening ports, each used by one process at a time.
+
+    A port is free between its choice and its use, so two processes that start
+    fleets at the same time must not choose from the same ports. A process
+    claims a slot by listening on its first port.
+    """
+
+    def __init__(self):
+        self._claims: list[socket.socket] = []
+        self._slot = range(0)
+
+    def pick(self, count: int) -> range:
+        """Returns random consecutive ports of the current slot."""
+        if len(self._slot) < count:
+            self.claim()
+        first = random.SystemRandom().choice(self._slot[: 1 - count or None])
+        return range(first, first + count)
+
+    def claim(self) -> None:
+        """Claims a slot that no process uses, and makes it the current one."""
+        while True:
+            first = random.SystemRandom().randrange(
+                *LISTEN_PORTS, PORTS_PER_SLOT
+            )
+            claim = socket.socket()
+            try:
+                claim.bind((LOOPBACK, first))
+                claim.listen()
+            except OSError:
+                claim.close()
+                continue
+            self._claims.append(claim)
+            self._slot = range(first + 1, first + PORTS_PER_SLOT)
+            return
+
+
+port_slots = PortSlots()
+
+
 def free_port(count: int = 1) -> int:
     """Returns a TCP port that is unused and has not been returned before.
 
@@ -77,11 +120,14 @@
         count: Number of consecutive ports to allocate; the first is returned.
     """
     while True:
-        first = random.SystemRandom().randrange(*LISTEN_PORTS)
-        ports = range(first, first + count)
-        if allocated_ports.isdisjoint(ports) and all(map(_is_port_free, ports)):
-            allocated_ports.update(ports)
-            return first
+        for _ in range(PICKS_PER_SLOT):
+            ports = port_slots.pick(count)
+            if allocated_ports.isdisjoint(ports) and all(
+                map(_is_port_free, ports)
+            ):
+                allocated_ports.update(ports)
+                return ports[0]
+        port_slots.claim()
 
 
 def _is_port_free(port: int) -> bool:
