--- a/chicorystack/platform/standin/engine.py
+++ b/chicorystack/platform/standin/engine.py
@@ -2,6 +2,7 @@
 
 import math
 import os
+import time
 from collections import Counter
 
 import msgspec
@@ -43,6 +44,8 @@
             ends the process as it begins. Empty for none.
         unframed: Whether responses have neither a length nor chunks and end
             with their connection.
+        limit: Requests a second that it takes from all routers together, as it
+            states in its responses; empty for no statement.
     """
 
     shed: bool = False
@@ -60,6 +63,7 @@
     crash_on: str = ""
     crash_on_part: str = ""
     unframed: bool = False
+    limit: str = ""
 
 
 class EngineCounts(msgspec.Struct):
@@ -72,6 +76,7 @@
         seen: Headers of the last request.
         requests: Requests received.
         gone: Requests whose client disconnected while they ran.
+        arrivals: Unix times at which requests were received, in seconds.
     """
 
     runs: int = 0
@@ -80,6 +85,7 @@
     seen: dict[str, str] = {}
     gone: int = 0
     requests: int = 0
+    arrivals: list[float] = []
 
 
 class EngineResource(resource.Resource):
@@ -109,6 +115,7 @@
 
     def _serve_call(self, request: server.Request) -> bytes | int:
         self._counts.requests += 1
+        self._counts.arrivals.append(round(time.time(), 3))
         self._counts.seen = {
             name.decode().lower(): values[-1].decode("latin-1")
             for name, values in request.requestHeaders.getAllRawHeaders()
@@ -157,6 +164,8 @@
         request.setHeader("X-Chicorystack-Engine-Load", f"{self._running},0,8")
         if faults.leaving:
             request.setHeader("Server-Leaving", "1")
+        if faults.limit:
+            request.setHeader("Server-Limit", faults.limit)
         if not faults.unsigned:
             request.setHeader("X-Chicorystack-Response-Seal", SIGNATURE)
 
