Keep all routers together within the rate of calls that a target names

Cause: no router read the statement, and nothing in the product counts calls to a target over all routers; the one shared bound, that of retries, is split evenly and would leave such a limit unused at 70 routers. Class: a bound that holds for the fleet, with no owner in the fleet.

Change: `rate_limits/`. Each router owns an equal share of every limit and leases it to a coordinator, which grants permits one by one; leases, not elections, keep the parts from adding up to more than the limit. Each send takes a permit, repeats too.

--- a/chicorystack/defaults.py
+++ b/chicorystack/defaults.py
@@ -411,6 +411,31 @@
 STALL_OBJECTIVE_FACTOR = 2.5
 STALL_GAP_FACTOR = 4.0
 
+# Rate limits that targets state.
+# A lower limit would never be seen to end.
+RATE_LIMIT_MIN_PER_S = 0.05
+# Permits that may be saved up, as a time at the full rate.
+RATE_BURST_S = 0.5
+# Fraction of all shares below which a router's unused permits expire.
+RATE_STEADY_FRACTION = 0.25
+# Time between two renewals of all leases, or the renewals a second if these
+# are too many, and the renewals that a lease outlasts.
+RATE_RENEW_MIN_S = 1.0
+RATE_RENEWALS_PER_S = 50
+RATE_LEASE_RENEWALS = 2.5
+# Failures in a row after which a router is passed by as coordinator, and for
+# how long unless it asks meanwhile.
+RATE_SUSPEND_FAILURES = 2
+RATE_SUSPEND_S = 3.0
+# Least time between two rounds of messages that spread news.
+RATE_SPREAD_MIN_S = 0.1
+RATE_PEER_TIMEOUT_S = 0.25
+# Bounds on the time until a router asks for a permit again.
+RATE_RETRY_MIN_S = 0.05
+RATE_RETRY_MAX_S = 2.0
+# The same while no share may be used, as leases change hands.
+RATE_NO_SHARES_RETRY_S = 0.3
+
 # Requests that crash targets.
 # Time after a broken connection in which the target must be found down to
 # count as crashed.
--- a/chicorystack/gateway/call_run.py
+++ b/chicorystack/gateway/call_run.py
@@ -92,6 +92,13 @@
             target = self._pool.choose(self._call, self._tried)
             if target is None:
                 return self._no_target_refusal()
+            admitted = await self._pool.admit(target)
+            if self._writer.disconnected:
+                return _disconnected_result()
+            if self._clock.seconds() >= self._call.deadline:
+                return _expired_result()
+            if not admitted:
+                continue
             result = await self._attempt_one(target)
             if not self._may_retry(result):
                 return result
@@ -118,12 +125,15 @@
     async def _attempt_one(self, target: TargetEntry) -> AttemptResult:
         started_at = self._clock.seconds()
         load = self._pool.loads.load(target.id)
+        limit_revision = self._pool.limit_revision(target)
         attempt = Attempt(
             self._clock,
             self._call,
             self._codec,
             self._progress,
-            lambda head: self._pool.record_head(target, head),
+            lambda head: self._pool.record_head(
+                self._call, target, head, limit_revision
+            ),
         )
         self._attempt = attempt
         self._pool.record_start(target)
@@ -226,9 +236,7 @@
 
     def _on_deadline(self) -> None:
         if self._attempt is not None:
-            self._attempt.stop(
-                AttemptOutcome.EXPIRED, "the deadline has passed"
-            )
+            self._attempt.stop(*_expired_result()[:2])
 
     def _on_disconnect(self) -> None:
         if self._attempt is not None:
@@ -303,5 +311,9 @@
             self._writer.refuse(refusal)
 
 
+def _expired_result() -> AttemptResult:
+    return AttemptResult(AttemptOutcome.EXPIRED, "the deadline has passed")
+
+
 def _disconnected_result() -> AttemptResult:
     return AttemptResult(AttemptOutcome.CALLER_LEFT, "the caller disconnected")
--- a/chicorystack/gateway/messages.py
+++ b/chicorystack/gateway/messages.py
@@ -137,6 +137,8 @@
         leaving: Whether the target is about to leave.
         retry_after_s: For how long the target wants no requests from this
             router, in seconds; None if not stated.
+        calls_per_s: Calls a second that the target accepts from all routers
+            together; None for any rate.
     """
 
     status: int
@@ -151,6 +153,7 @@
     misdirected: bool = False
     leaving: bool = False
     retry_after_s: float | None = None
+    calls_per_s: float | None = None
 
 
 class Refusal(NamedTuple):
--- a/chicorystack/gateway/peer_http.py
+++ b/chicorystack/gateway/peer_http.py
@@ -6,6 +6,7 @@
 
 import msgspec
 from twisted.internet import defer
+from twisted.internet.error import ConnectionRefusedError
 from twisted.web import http, resource, server
 
 from chicorystack import defaults
@@ -29,11 +30,15 @@
 
     Attributes:
         maybe_done: Whether the router may have handled it.
+        not_running: Whether its VM refused the connection.
     """
 
-    def __init__(self, message: str, maybe_done: bool = True):
+    def __init__(
+        self, message: str, maybe_done: bool = True, not_running: bool = False
+    ):
         super().__init__(message)
         self.maybe_done = maybe_done
+        self.not_running = not_running
 
 
 class MessageResource(resource.Resource):
@@ -131,7 +136,10 @@
             response = await fetch(self._reactor, pool, request, limits)
             return msgspec.json.decode(response.body, type=response_type)
         except ExchangeError as error:
-            raise PeerError(f"{router}: {error}", error.sent) from error
+            refused = isinstance(error.__cause__, ConnectionRefusedError)
+            raise PeerError(
+                f"{router}: {error}", error.sent, refused
+            ) from error
         except msgspec.DecodeError as error:
             raise PeerError(f"{router}: {error}") from error
 
--- a/chicorystack/gateway/process.py
+++ b/chicorystack/gateway/process.py
@@ -37,6 +37,10 @@
     PrefixAffinity,
     PromptAware,
 )
+from chicorystack.gateway.rate_limit_http import (
+    HttpRatePeers,
+    add_rate_limit_resources,
+)
 from chicorystack.gateway.settings import GatewaySettings
 from chicorystack.gateway.status_http import (
     MetricsResource,
@@ -51,6 +55,9 @@
 )
 from chicorystack.observe.events import emit
 from chicorystack.quarantine.strikes import StrikeTable
+from chicorystack.rate_limits.limiter import RateLimiter
+from chicorystack.rate_limits.shares import Coordinator
+from chicorystack.rate_limits.statements import LimitTable
 from chicorystack.routing.retry_budget import RetryBudget
 from chicorystack.store.follower import Follower, PollTiming, Update
 from chicorystack.store.keyed_log import KeyedLog, Partition, StoreError
@@ -120,8 +127,16 @@
             PeerRouter(settings.data_centre, settings.peer_address),
         )
         peers = PeerClient(reactor, lambda: self._routers.peer_by_name)
-        self._grants = self._create_grants(log, peers)
+        process_id = new_id()
+        self._grants = self._create_grants(log, peers, process_id)
         self._registry = TargetRegistry(reactor, self._store_status)
+        self._limiter = RateLimiter(
+            reactor,
+            Coordinator(settings.name, process_id),
+            HttpRatePeers(peers),
+            LimitTable(self._registry.is_registered),
+            self._routers.count,
+        )
         self._retries = RetryBudget(
             reactor, settings.retry_bounds, self._routers.count
         )
@@ -151,14 +166,16 @@
         )
         self._port = None
 
-    def _create_grants(self, log: KeyedLog, peers: PeerClient) -> GrantClient:
+    def _create_grants(
+        self, log: KeyedLog, peers: PeerClient, process_id: str
+    ) -> GrantClient:
         settings = self._settings
         own_place = RouterPlace(settings.name, settings.data_centre)
         return GrantClient(
             self._reactor,
             log,
             GRANTS_TOPIC,
-            Holder(settings.name, new_id()),
+            Holder(settings.name, process_id),
             self._routers.count,
             BootClock(),
             HttpRouterPeers(peers, own_place),
@@ -175,7 +192,12 @@
             self._reactor, self._strikes, self._strike_replicator.publish
         )
         return TargetPool(
-            self._reactor, self._registry, loads, placement, crash_detector
+            self._reactor,
+            self._registry,
+            loads,
+            placement,
+            crash_detector,
+            self._limiter,
         )
 
     def start(self) -> None:
@@ -202,6 +224,7 @@
         self._routers.start()
         self._grants.start(random.uniform(0, defaults.GRANT_REVIEW_INTERVAL_S))
         self._strike_replicator.start()
+        self._limiter.start()
         self._loop_delay.start()
         self._overload.start()
         emit("gateway", "started", callers=str(settings.caller_address))
@@ -282,6 +305,7 @@
         root.putChild(b"v1", api)
         add_token_resources(api, self._grants)
         add_overload_resource(api, self._overload.report)
+        add_rate_limit_resources(api, self._limiter)
         return root
 
     def _store_status(self) -> StoreStatus:
--- a/chicorystack/gateway/target_pool.py
+++ b/chicorystack/gateway/target_pool.py
@@ -11,6 +11,7 @@
 from chicorystack.gateway.target_notices import TargetNotices
 from chicorystack.gateway.targets import TargetEntry, TargetRegistry
 from chicorystack.observe.events import emit
+from chicorystack.rate_limits.limiter import RateLimiter
 from chicorystack.routing.health import HealthTable
 from chicorystack.web.exchange import (
     ConnectionPool,
@@ -33,11 +34,13 @@
         loads: TargetLoads,
         placement: PlacementPolicy,
         crash_detector: CrashDetector,
+        limiter: RateLimiter,
     ):
         self._reactor = reactor
         self._registry = registry
         self._placement = placement
         self._crash_detector = crash_detector
+        self._limiter = limiter
         # Incarnations that are being probed because a connection broke.
         self._probing: set[tuple[str, int]] = set()
         self._health = HealthTable(reactor)
@@ -60,6 +63,19 @@
         """Returns whether a call is known to crash targets."""
         return self._crash_detector.is_blamed(call.crash_keys)
 
+    async def admit(self, target: TargetEntry) -> bool:
+        """Takes a permit for a call if the target limits the rate of calls.
+
+        Returns:
+            Whether the call may be sent; if not, the target is no candidate
+            until a permit may be available.
+        """
+        return await self._limiter.acquire(target.incarnation)
+
+    def limit_revision(self, target: TargetEntry) -> int:
+        """Returns the revision of the target's known rate limit."""
+        return self._limiter.limits.revision(target.incarnation)
+
     def pause_left_s(self, service: str) -> float | None:
         """Returns when a service's targets want calls again.
 
@@ -68,8 +84,9 @@
             target is paused.
         """
         pauses_s = [
-            self._notices.pause_left_s(entry)
+            max(pause_s, self._limiter.blocked_s(entry.incarnation))
             for entry in self._registry.ready_targets(service)
+            if (pause_s := self._notices.pause_left_s(entry)) is not None
         ]
         return min(filter(None, pauses_s), default=None)
 
@@ -105,9 +122,26 @@
         """Counts the end of a call on a target."""
         self.loads.record_end(target.id)
 
-    def record_head(self, target: TargetEntry, head: ResponseHead) -> None:
-        """Records what a response's head says about its target."""
+    def record_head(
+        self,
+        call: Call,
+        target: TargetEntry,
+        head: ResponseHead,
+        sent_revision: int,
+    ) -> None:
+        """Records what a response's head says about its target.
+
+        Args:
+            call: The call.
+            target: The target.
+            head: The head.
+            sent_revision: See `limit_revision`; as of when the call was sent.
+        """
         self._notices.record(target, head)
+        if head.request_id == call.request.id and not head.misdirected:
+            self._limiter.record_answer(
+                target.incarnation, head.calls_per_s, sent_revision
+            )
         if head.load is not None:
             self.loads.record_sample(target.id, head.load)
 
@@ -174,7 +208,9 @@
         ready = [
             entry
             for entry in self._registry.ready_targets(call.service)
-            if entry.id not in tried and self._notices.accepts_calls(entry)
+            if entry.id not in tried
+            and self._notices.accepts_calls(entry)
+            and not self._limiter.blocked_s(entry.incarnation)
         ]
         admitted = [e for e in ready if self._is_admitted(e)]
         return admitted or ready
--- a/chicorystack/gateway/targets.py
+++ b/chicorystack/gateway/targets.py
@@ -128,8 +128,12 @@
 
     def is_current(self, entry: TargetEntry) -> bool:
         """Returns whether this incarnation is still registered."""
-        current = self.entry_by_id.get(entry.id)
-        return current is not None and current.incarnation == entry.incarnation
+        return self.is_registered(entry.incarnation)
+
+    def is_registered(self, incarnation: tuple[str, int]) -> bool:
+        """Returns whether an incarnation of a target is registered."""
+        current = self.entry_by_id.get(incarnation[0])
+        return current is not None and current.incarnation == incarnation
 
     def _apply_entry(self, entry: TargetEntry) -> None:
         current = self.entry_by_id.get(entry.id)
--- a/chicorystack/observe/exposition.py
+++ b/chicorystack/observe/exposition.py
@@ -34,6 +34,13 @@
     registry=REGISTRY,
 )
 
+rate_permits_total = Counter(
+    "chicory_rate_permits",
+    "Permits that calls needed for targets with a rate limit",
+    ["result"],
+    registry=REGISTRY,
+)
+
 
 def metrics_text() -> bytes:
     """Returns all metrics in the Prometheus text format."""
--- a/chicorystack/platform/headers.py
+++ b/chicorystack/platform/headers.py
@@ -31,6 +31,8 @@
 LOAD = b"x-chicorystack-engine-load"
 LEAVING = b"server-leaving"
 RETRY_AFTER = b"retry-after"
+# Requests a second that the target accepts from all routers together.
+RATE_LIMIT = b"server-limit"
 LOWEST_PRIORITY = 9
 MISDIRECTED_STATUS = 421
 OVERLOADED_STATUS = 503
@@ -157,6 +159,7 @@
             retry_after_s=_decode_retry_after_s(
                 status, value_by_name.get(RETRY_AFTER)
             ),
+            calls_per_s=_decode_rate(value_by_name.get(RATE_LIMIT)),
         )
 
 
@@ -239,6 +242,18 @@
     return min(seconds, defaults.TARGET_PAUSE_MAX_S)
 
 
+def _decode_rate(value: bytes | None) -> float | None:
+    """Returns a rate; None if it is missing or is not a number of at least 0.
+
+    A rate of infinity is no limit.
+    """
+    try:
+        rate = math.inf if value is None else float(value)
+    except ValueError:
+        return None
+    return rate if 0 <= rate < math.inf else None
+
+
 def _decode_load(value: bytes | None) -> LoadSample | None:
     fields = [item.strip() for item in (value or b"").split(b",")]
     if len(fields) != 3 or not all(map(bytes.isdigit, fields)):
--- /dev/null
+++ b/chicorystack/rate_limits/pacing.py
@@ -0,0 +1,68 @@
+"""Spreads a rate of permits over time: a token bucket with a small burst.
+
+Many routers that are cut off from each other each hold a small part of one
+limit. If all of them saved up a permit, all could use theirs at the same
+moment. A holder of a small part therefore starts at a random time and lets
+permits expire that it does not use.
+"""
+
+import math
+import random
+from typing import NamedTuple
+
+from chicorystack import defaults
+
+
+class Pace(NamedTuple):
+    """How many permits become available.
+
+    Attributes:
+        per_s: Permits a second.
+        expiring: Whether unused permits expire.
+    """
+
+    per_s: float
+    expiring: bool
+
+
+class Pacer:
+    """Permits for calls to one target, at a pace that may change."""
+
+    def __init__(self, clock, pace: Pace):
+        self._clock = clock
+        self._pace = pace
+        self._permits = random.random()
+        self._updated_at = clock.seconds()
+
+    def set_pace(self, pace: Pace) -> None:
+        """Changes the pace; what has become available so far stays."""
+        self._refill()
+        self._pace = pace
+
+    def take(self, count: int) -> int:
+        """Takes up to count permits; returns how many were available."""
+        self._refill()
+        taken = min(count, int(self._permits))
+        self._permits -= taken
+        return taken
+
+    def wait_s(self) -> float:
+        """Returns the time until a permit is available, in seconds."""
+        self._refill()
+        if self._permits >= 1:
+            return 0.0
+        if not self._pace.per_s:
+            return math.inf
+        return (1 - self._permits) / self._pace.per_s
+
+    def _refill(self) -> None:
+        now = self._clock.seconds()
+        elapsed_s = now - self._updated_at
+        self._updated_at = now
+        self._permits += elapsed_s * self._pace.per_s
+        most = 1 + self._pace.per_s * defaults.RATE_BURST_S
+        if self._permits > most:
+            excess = self._permits - most
+            self._permits -= (
+                math.ceil(excess) if self._pace.expiring else excess
+            )
--- a/tests/gateway/test_call_run.py
+++ b/tests/gateway/test_call_run.py
@@ -48,17 +48,19 @@
 class FakePool:
     """Targets in a fixed order, some of them unreachable."""
 
-    def __init__(self, clock, targets, unreachable):
+    def __init__(self, clock, targets, unreachable, denying=()):
         self._targets = targets
+        self._denying = set(denying)
         self._unreachable = set(unreachable)
         self.loads = TargetLoads(clock)
         self.attempted = []
+        self.denied = set()
 
     def is_quarantined(self, _call):
         return False
 
     def choose(self, _call, tried):
-        left = [t for t in self._targets if t.id not in tried]
+        left = [t for t in self._targets if t.id not in tried | self.denied]
         return left[0] if left else None
 
     def has_candidate(self, call, tried):
@@ -73,7 +75,15 @@
     def pause_left_s(self, _service):
         return None
 
-    def record_head(self, target, head):
+    async def admit(self, target):
+        if target.id in self._denying:
+            self.denied.add(target.id)
+        return target.id not in self._denying
+
+    def limit_revision(self, _target):
+        return 0
+
+    def record_head(self, call, target, head, sent_revision):
         """Does nothing."""
 
     def record_start(self, target):
@@ -126,12 +136,13 @@
     return Call(request, route, "s", "", None, 5.0, 1, "content")
 
 
-def run_call(kind, targets, unreachable):
+def run_call(kind, targets, unreachable=0, denying=0):
     """Runs a call; returns its writer and the IDs of attempted targets."""
     clock = Clock()
     entries = [entry(f"t-{number}") for number in range(targets)]
     unreachable_ids = [target.id for target in entries[:unreachable]]
-    pool = FakePool(clock, entries, unreachable_ids)
+    denying_ids = [target.id for target in entries[:denying]]
+    pool = FakePool(clock, entries, unreachable_ids, denying_ids)
     writer = FakeWriter()
     retries = RetryBudget(clock, NO_RETRIES, lambda: 1)
     runner = CallRunner(
@@ -155,3 +166,18 @@
     )
     assert len(attempted) == defaults.MAX_UNREACHABLE_TARGETS + 1
     assert (writer.refusal.status, writer.refusal.code) == (503, "not_run")
+
+
+@pytest.mark.parametrize("kind", list(CallKind))
+def test_targets_without_a_permit_are_skipped_without_using_retry_budget(kind):
+    writer, attempted = run_call(kind, targets=4, denying=3)
+    assert writer.body == b"done"
+    assert attempted == ["t-3"]
+
+
+@pytest.mark.parametrize("kind", list(CallKind))
+def test_call_is_refused_at_once_if_no_target_has_a_permit(kind):
+    writer, attempted = run_call(kind, targets=4, denying=4)
+    assert attempted == []
+    assert (writer.refusal.status, writer.refusal.code) == (503, "no_target")
+    assert writer.refusal.retry_after_s > 0
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -137,5 +137,15 @@
     assert b"connection" not in names
 
 
+@pytest.mark.parametrize(
+    ("value", "rate"),
+    [(b"2", 2.0), (b" 0.25 ", 0.25), (b"0", 0.0), (b"inf", None),
+     (b"nan", None), (b"-1", None), (b"many", None), (b"", None)],
+)  # fmt: skip
+def test_rate_limit_is_a_number_that_makes_sense(value, rate):
+    head = PlatformTargetCodec().decode_head(200, [(b"server-limit", value)])
+    assert head.calls_per_s == rate
+
+
 def test_misdirected_request_counts_as_not_run():
     assert PlatformTargetCodec().decode_head(421, []).not_run
--- a/tests/platform/test_rate_limits.py
+++ b/tests/platform/test_rate_limits.py
@@ -66,9 +66,6 @@
     return FACTOR * limit * WINDOW_S + SLACK_CALLS
 
 
-@pytest.mark.xfail(
-    strict=True, reason="KNOWN-RED: limits of targets are not read (issue 28)"
-)
 def test_all_routers_together_keep_to_the_limit_that_a_target_names(fleet):
     limit = 2.0
     fleet.set_engine_faults("i-app-1", limit=str(limit))
@@ -82,9 +79,6 @@
     assert {reply.status for reply, _ in replies} == {200}
 
 
-@pytest.mark.xfail(
-    strict=True, reason="KNOWN-RED: limits of targets are not read (issue 28)"
-)
 def test_calls_are_refused_at_once_if_all_targets_have_reached_their_limits(
     fleet,
 ):
