Failing tests for streams that go on while several versions serve

The stand-in's entries name a version. On the code before the mend streams hold events of v1 and v1.2, in one answer and when their caller takes them up at another router, also after the first router has died while the store is away.

--- a/bench/platform_fleet.py
+++ b/bench/platform_fleet.py
@@ -123,7 +123,9 @@
             lambda: send(self.store_port, "GET", "/standin/counts").status,
         )
 
-    def start_engine(self, name: str, service: str, born: int = 1) -> None:
+    def start_engine(
+        self, name: str, service: str, born: int = 1, version: str = "v1"
+    ) -> None:
         """Starts an engine and registers it in the store."""
         port = free_port()
         self.port_by_engine[name] = port
@@ -138,16 +140,22 @@
             f"{name} answers",
             lambda: send(port, "GET", "/standin/counts").status,
         )
-        self.register_engine(name, service, born=born)
+        self.register_engine(name, service, born=born, version=version)
 
     def register_engine(
-        self, name: str, service: str, state: str = "ready", born: int = 1
+        self,
+        name: str,
+        service: str,
+        state: str = "ready",
+        born: int = 1,
+        version: str = "v1",
     ) -> None:
         """Writes an engine's entry to the store."""
         entry = {
             "Service": service,
             "Address": f"{LOOPBACK}:{self.port_by_engine[name]}",
             "Zone": "zone-a",
+            "Version": version,
             "Slots": 8,
             "State": state,
             "Sequence": 1,
--- /dev/null
+++ b/tests/platform/test_stream_versions.py
@@ -0,0 +1,164 @@
+"""End-to-end streams that go on while targets of several versions serve."""
+
+import http.client
+import json
+import signal
+import time
+
+import pytest
+
+from bench.fleet import LOOPBACK
+from bench.platform_fleet import (
+    KEY,
+    STREAM_HOST,
+    default_config,
+    running_platform_fleet,
+)
+
+VERSION_BY_ENGINE = {
+    "i-llm-1": "v1",
+    "i-llm-2": "v1.1",
+    "i-llm-3": "v1.2",
+    "i-llm-4": "v1",
+    "i-llm-5": "v1.1",
+    "i-llm-6": "v1.2",
+}
+ROUTERS = ("router-1", "router-2", "router-3")
+STREAMS = 16
+EVENTS_READ = 5
+# 200 events of 10 ms each.
+LONG_STREAM = "20,800"
+EVENTS = 200
+# Time in which what a router knows of its streams reaches another one.
+NOTICE_S = 0.3
+NEARLY_ALL = 0.8
+
+
+@pytest.fixture
+def fleet(tmp_path):
+    with running_platform_fleet(tmp_path) as fleet:
+        for name, version in VERSION_BY_ENGINE.items():
+            fleet.start_engine(name, "llm", version=version)
+        for name in ROUTERS:
+            fleet.start_router(name)
+        config = default_config()
+        config["Tenants"] = [{"Name": "alpha", "ApiKeys": [KEY]}]
+        fleet.publish(config)
+        fleet.wait_until_ready()
+        yield fleet
+
+
+class Stream:
+    """A stream through one router, of which some events are read."""
+
+    def __init__(self, fleet, router, request_id, resumes=None, last_id=0):
+        headers = {
+            "Host": STREAM_HOST,
+            "Authorization": f"Bearer {KEY}",
+            "X-Chicorystack-Request-Attempt-Id": request_id,
+            "X-Chicorystack-Token-Usage": LONG_STREAM,
+            "X-Chicorystack-Deadline-Ms": "4500",
+        }
+        if resumes:
+            headers |= {"Resumes": resumes, "Last-Event-Id": str(last_id)}
+        port = fleet.ports_by_router[router].callers
+        self.id = request_id
+        self._connection = http.client.HTTPConnection(LOOPBACK, port, timeout=8)
+        self._connection.request("POST", "/ask/1", json.dumps({}), headers)
+        self._response = self._connection.getresponse()
+        self.status = self._response.status
+
+    def read_events(self, count):
+        """Reads events; returns the ID of the last one."""
+        last_id = 0
+        while count:
+            line = self._response.readline()
+            if line.startswith(b"id:"):
+                last_id = int(line[3:])
+            count -= line == b"\n"
+        return last_id
+
+    def close(self):
+        self._connection.close()
+
+
+def versions_that_ran(fleet, *request_ids):
+    return {
+        version
+        for engine, version in VERSION_BY_ENGINE.items()
+        if fleet.is_running(engine)
+        for request_id in request_ids
+        if request_id in fleet.get_counts(engine)["runs_by_id"]
+    }
+
+
+def begin_streams(fleet, router):
+    """Begins streams and reads some events; returns them with the last IDs."""
+    streams = []
+    for number in range(STREAMS):
+        stream = Stream(fleet, router, f"begun-{number}")
+        streams.append((stream, stream.read_events(EVENTS_READ)))
+    return streams
+
+
+def take_up(fleet, router, streams):
+    """Takes streams up again; returns how many have gone on."""
+    gone_on = 0
+    for begun, last_id in streams:
+        again = Stream(fleet, router, f"again-{begun.id}", begun.id, last_id)
+        if again.status == 200:
+            gone_on += 1
+            assert again.read_events(EVENTS_READ) == last_id + EVENTS_READ
+        again.close()
+    return gone_on
+
+
+def assert_one_version_each(fleet, streams):
+    for begun, _ in streams:
+        ids = (begun.id, f"again-{begun.id}")
+        assert len(versions_that_ran(fleet, *ids)) == 1
+
+
+@pytest.mark.xfail(
+    strict=True, reason="KNOWN-RED: versions are not read (issue 28)"
+)
+def test_stream_goes_on_within_its_answer_only_at_its_version(fleet):
+    for name in ("i-llm-1", "i-llm-2", "i-llm-3"):
+        fleet.set_engine_faults(name, break_after=4)
+    ids = [f"broken-{number}" for number in range(STREAMS)]
+    bodies = [fleet.request_stream("router-1", i).body for i in ids]
+    assert all(body.count(b"id:") == 10 for body in bodies)
+    assert [len(versions_that_ran(fleet, i)) for i in ids] == [1] * STREAMS
+
+
+@pytest.mark.xfail(
+    strict=True, reason="KNOWN-RED: versions are not read (issue 28)"
+)
+def test_stream_taken_up_at_another_router_keeps_its_version(fleet):
+    streams = begin_streams(fleet, "router-1")
+    for begun, _ in streams:
+        begun.close()
+    assert take_up(fleet, "router-2", streams) == STREAMS
+    assert_one_version_each(fleet, streams)
+
+
+@pytest.mark.xfail(
+    strict=True, reason="KNOWN-RED: versions are not read (issue 28)"
+)
+def test_version_outlasts_the_first_router_while_the_store_is_away(fleet):
+    streams = begin_streams(fleet, "router-1")
+    time.sleep(NOTICE_S)
+    fleet.set_store_faults(reads="silent", appends="silent")
+    fleet.signal("router-1", signal.SIGKILL)
+    fleet.process_by_name["router-1"].wait(5)
+    assert take_up(fleet, "router-2", streams) >= NEARLY_ALL * STREAMS
+    assert_one_version_each(fleet, streams)
+
+
+@pytest.mark.xfail(
+    strict=True, reason="KNOWN-RED: versions are not read (issue 28)"
+)
+def test_stream_that_no_router_knows_does_not_go_on_at_a_guess(fleet):
+    stream = Stream(fleet, "router-1", "again-1", "never-begun", 3)
+    assert stream.status == 503
+    assert versions_that_ran(fleet, "again-1") == set()
