Let streams go on only at the software version that began them

Cause: a broken stream's next attempt, and a stream that its caller takes up again, went to any target of the service; the versions in targets' entries were not read, and no router knew where a stream had begun that another one had passed on. Class: state of a client's exchange that only one process knows, and a choice that ignores it.

Change: the first event binds a call to its target's version. `streams/` keeps where streams began, with copies at two other routers, in batches; a router that takes up a stream asks its table, then all routers, and infers a version only if no second one can have been known to any router since the stream can have begun. Else 503 `unknown_stream`. A request's line names `resumes` and the version of each attempt, so that the two ways of crossing versions can be told apart.

Without the wait for a fresh read of the registry, or without what other routers have seen, tests fail.

--- a/chicorystack/defaults.py
+++ b/chicorystack/defaults.py
@@ -436,6 +436,25 @@
 # The same while no share may be used, as leases change hands.
 RATE_NO_SHARES_RETRY_S = 0.3
 
+# Streams that their callers take up again.
+# How long a router remembers where a stream began, and of how many.
+STREAM_ORIGIN_KEEP_S = 60.0
+MAX_STREAM_ORIGINS = 16_384
+# Routers that keep copies, and those that are told at most to find them.
+STREAM_ORIGIN_COPIES = 2
+STREAM_ORIGIN_MAX_TRIES = 5
+# Time in which copies are sent, also while several versions serve.
+STREAM_NOTICE_S = 0.5
+STREAM_NOTICE_URGENT_S = 0.03
+STREAM_PEER_TIMEOUT_S = 0.2
+STREAM_PEER_SILENT_S = 2.0
+# Age of a stream, as a multiple of its route's timeout, at most.
+STREAM_AGE_TIMEOUTS = 2.0
+# Age up to which what was read of the registry of targets is current, and how
+# often a caller that waits for a read checks for it.
+REGISTRY_FRESH_S = 1.0
+REGISTRY_FRESH_CHECK_S = 0.05
+
 # Requests that crash targets.
 # Time after a broken connection in which the target must be found down to
 # count as crashed.
--- a/chicorystack/gateway/attempt.py
+++ b/chicorystack/gateway/attempt.py
@@ -135,12 +135,25 @@
         codec: TargetCodec,
         progress: ResponseProgress,
         on_head: Callable[[ResponseHead], None],
+        on_first_event: Callable[[], None],
     ):
+        """Prepares an attempt.
+
+        Args:
+            clock: The reactor.
+            call: The call.
+            codec: Decodes the response.
+            progress: What the caller has been sent.
+            on_head: Called with the response's head.
+            on_first_event: Called before the first event of this response is
+                sent to the caller.
+        """
         self._clock = clock
         self._call = call
         self._codec = codec
         self._progress = progress
         self._on_head = on_head
+        self._on_first_event = on_first_event
         self._connection: HttpConnection | None = None
         self._head: ResponseHead | None = None
         self._splitter: EventSplitter | None = None
@@ -224,6 +237,7 @@
 
     def _forward_events(self, data: bytes) -> None:
         stream = self._progress.stream
+        is_first = not self.has_sent_events
         new_events = [
             event.data
             for event in self._splitter.feed(data)
@@ -234,6 +248,8 @@
             return
         if new_events:
             self.last_progress_at = self._clock.seconds()
+            if is_first:
+                self._on_first_event()
             self._progress.start(self._head)
             self._progress.writer.send(b"".join(new_events))
 
--- a/chicorystack/gateway/call_run.py
+++ b/chicorystack/gateway/call_run.py
@@ -1,6 +1,7 @@
 """Runs a call: attempts it on targets until its response has ended."""
 
 import random
+from collections.abc import Callable
 
 from chicorystack import defaults
 from chicorystack.gateway.attempt import (
@@ -18,6 +19,7 @@
 from chicorystack.gateway.targets import TargetEntry
 from chicorystack.observe.events import emit
 from chicorystack.routing.retry_budget import RetryBudget
+from chicorystack.streams.messages import OriginRecord
 from chicorystack.web.exchange import ExchangeError
 
 # Outcomes of attempts that certainly did not run the call.
@@ -37,13 +39,27 @@
         codec: TargetCodec,
         pool: TargetPool,
         retries: RetryBudget,
+        on_stream_begun: Callable[[OriginRecord], None],
     ):
+        """Prepares a call.
+
+        Args:
+            clock: The reactor.
+            call: The call.
+            writer: Writes the response.
+            codec: Codec for targets.
+            pool: The targets.
+            retries: Limits retries.
+            on_stream_begun: Called with the stream's origin before its first
+                event is sent to the caller.
+        """
         self._clock = clock
         self._call = call
         self._writer = writer
         self._codec = codec
         self._pool = pool
         self._retries = retries
+        self._on_stream_begun = on_stream_begun
         self._recorder = CallRecorder(clock, call)
         self._progress = ResponseProgress(writer, call.request.last_event_id)
         self._attempt: Attempt | None = None
@@ -134,6 +150,7 @@
             lambda head: self._pool.record_head(
                 self._call, target, head, limit_revision
             ),
+            lambda: self._begin_stream(target),
         )
         self._attempt = attempt
         self._pool.record_start(target)
@@ -147,6 +164,15 @@
         self._recorder.record_attempt(target, load, result, started_at)
         return result
 
+    def _begin_stream(self, target: TargetEntry) -> None:
+        """Keeps the call to the version of the target that has begun it."""
+        if self._call.version is not None:
+            return
+        self._call = self._call._replace(version=target.version)
+        self._on_stream_begun(
+            OriginRecord(self._call.request.id, target.service, target.version)
+        )
+
     async def _exchange(
         self, attempt: Attempt, target: TargetEntry
     ) -> AttemptResult:
--- a/chicorystack/gateway/dispatcher.py
+++ b/chicorystack/gateway/dispatcher.py
@@ -14,13 +14,15 @@
 from chicorystack.gateway.attempt import TargetCodec
 from chicorystack.gateway.call_run import CallRunner
 from chicorystack.gateway.messages import Call, CallerRequest, ResponseWriter
-from chicorystack.gateway.model import GatewayConfig
+from chicorystack.gateway.model import CallKind, GatewayConfig
 from chicorystack.gateway.outcomes import record_refused
 from chicorystack.gateway.target_pool import TargetPool
 from chicorystack.observe.events import emit
 from chicorystack.quarantine import blame
 from chicorystack.quarantine.strikes import StrikeTable
 from chicorystack.routing.retry_budget import RetryBudget
+from chicorystack.streams.finder import OriginFinder, ResumedStream
+from chicorystack.streams.replicator import OriginReplicator
 
 
 class Dispatcher:
@@ -39,6 +41,8 @@
         grants: GrantClient,
         retries: RetryBudget,
         strikes: StrikeTable,
+        origins: OriginFinder,
+        replicator: OriginReplicator,
     ):
         self._clock = clock
         self._config = config
@@ -47,6 +51,8 @@
         self._grants = grants
         self._retries = retries
         self._strikes = strikes
+        self._origins = origins
+        self._replicator = replicator
         self._admission = Admission(clock, config)
         self.open_requests = 0
 
@@ -73,13 +79,20 @@
             call = self._admission.admit(request)
             self._check_strikes(call)
             self._retries.record_call(call.service)
+            call = await self._pin_resumed_stream(call)
             reservation = await self._reserve(call, writer)
         except RefusedError as error:
             record_refused(request.id, self._config().version, error.refusal)
             writer.refuse(error.refusal)
             return
         runner = CallRunner(
-            self._clock, call, writer, self._codec, self._pool, self._retries
+            self._clock,
+            call,
+            writer,
+            self._codec,
+            self._pool,
+            self._retries,
+            self._replicator.record,
         )
         spent = 0
         try:
@@ -103,6 +116,30 @@
             message = f"{error}: {call.content_hash}"
             raise refuse(503, error.code, message, retry_s) from error
 
+    async def _pin_resumed_stream(self, call: Call) -> Call:
+        """Returns the call, bound to the origin of a stream that it takes up.
+
+        Raises:
+            RefusedError: If the origin is not known, or the route's calls go
+                to other services by now.
+        """
+        request, route = call.request, call.route
+        if route.kind is not CallKind.STREAM or not request.last_event_id:
+            return call
+        services = tuple(split.service for split in route.services)
+        began_within_s = route.timeout_s * defaults.STREAM_AGE_TIMEOUTS
+        origin = await self._origins.find(
+            ResumedStream(request.resumes, services, began_within_s)
+        )
+        if origin is None:
+            retry_s = random.uniform(*defaults.NO_TARGET_RETRY_RANGE_S)
+            message = f"nobody knows where stream {request.resumes} began"
+            raise refuse(503, "unknown_stream", message, retry_s)
+        if origin.service not in services:
+            message = f"the stream began at service {origin.service}"
+            raise refuse(503, "moved_stream", message)
+        return call._replace(service=origin.service, version=origin.version)
+
     async def _reserve(
         self, call: Call, writer: ResponseWriter
     ) -> GrantReservation | None:
--- a/chicorystack/gateway/messages.py
+++ b/chicorystack/gateway/messages.py
@@ -54,6 +54,8 @@
         prompt_parts: Parts of the prompt, in order.
         last_event_id: ID of the last event that the caller has; empty for none.
         received_at: Clock time when the request began to arrive, in seconds.
+        resumes: ID of the request that brought the first event of the stream
+            that the caller takes up again; empty for none.
     """
 
     id: str
@@ -69,6 +71,7 @@
     prompt_parts: tuple[PromptPart, ...]
     last_event_id: str
     received_at: float
+    resumes: str = ""
 
 
 class Call(NamedTuple):
@@ -83,6 +86,7 @@
         deadline: Clock time after which a response is useless, in seconds.
         config_version: Version of the configuration that admitted it.
         content_hash: Digest of the request; the same for repeats of it.
+        version: Version of the targets that may run it; None for any.
     """
 
     request: CallerRequest
@@ -93,6 +97,7 @@
     deadline: float
     config_version: int
     content_hash: str
+    version: str | None = None
 
     @property
     def crash_keys(self) -> tuple[str, ...]:
--- a/chicorystack/gateway/outcomes.py
+++ b/chicorystack/gateway/outcomes.py
@@ -22,6 +22,7 @@
         outcome: How the attempt ended.
         reason: Explanation of the outcome.
         duration_ms: Duration in milliseconds.
+        version: Version of the target's software.
     """
 
     target: str
@@ -29,6 +30,7 @@
     outcome: str
     reason: str
     duration_ms: float
+    version: str
 
 
 class CallRecorder:
@@ -61,6 +63,7 @@
                 result.outcome.value,
                 result.reason,
                 duration_ms,
+                target.version,
             )
         )
 
@@ -84,6 +87,7 @@
             tokens=tokens,
             ms=round((now - call.request.received_at) * 1000, 1),
             left_ms=round((call.deadline - now) * 1000),
+            resumes=call.request.resumes,
             attempts=self._attempts,
         )
 
--- a/chicorystack/gateway/process.py
+++ b/chicorystack/gateway/process.py
@@ -47,6 +47,10 @@
     ReadinessResource,
     serve_resource,
 )
+from chicorystack.gateway.stream_http import (
+    HttpStreamPeers,
+    add_stream_resources,
+)
 from chicorystack.gateway.target_pool import TargetPool
 from chicorystack.gateway.targets import (
     StoreStatus,
@@ -61,6 +65,10 @@
 from chicorystack.routing.retry_budget import RetryBudget
 from chicorystack.store.follower import Follower, PollTiming, Update
 from chicorystack.store.keyed_log import KeyedLog, Partition, StoreError
+from chicorystack.streams.finder import OriginFinder
+from chicorystack.streams.origins import OriginTable
+from chicorystack.streams.replicator import OriginReplicator
+from chicorystack.streams.versions import RegistryReads, VersionHistory
 from chicorystack.util import new_id
 
 GRANTS_TOPIC = "keyed.grants"
@@ -128,7 +136,9 @@
         )
         peers = PeerClient(reactor, lambda: self._routers.peer_by_name)
         process_id = new_id()
-        self._grants = self._create_grants(log, peers, process_id)
+        own_place = RouterPlace(settings.name, settings.data_centre)
+        router_peers = HttpRouterPeers(peers, own_place)
+        self._grants = self._create_grants(log, router_peers, process_id)
         self._registry = TargetRegistry(reactor, self._store_status)
         self._limiter = RateLimiter(
             reactor,
@@ -137,6 +147,15 @@
             LimitTable(self._registry.is_registered),
             self._routers.count,
         )
+        stream_peers = HttpStreamPeers(peers, router_peers.witness_candidates)
+        origin_table = OriginTable(reactor)
+        history = VersionHistory(reactor, self._registry, self._registry_reads)
+        self._origin_finder = OriginFinder(
+            reactor, origin_table, stream_peers, history
+        )
+        self._origin_replicator = OriginReplicator(
+            reactor, origin_table, stream_peers, history
+        )
         self._retries = RetryBudget(
             reactor, settings.retry_bounds, self._routers.count
         )
@@ -152,6 +171,8 @@
             self._grants,
             self._retries,
             self._strikes,
+            self._origin_finder,
+            self._origin_replicator,
         )
         self._link = LinkMeter(reactor, settings.link_bytes_per_s)
         self._loop_delay = LoopDelayMeter(reactor)
@@ -167,7 +188,7 @@
         self._port = None
 
     def _create_grants(
-        self, log: KeyedLog, peers: PeerClient, process_id: str
+        self, log: KeyedLog, router_peers: HttpRouterPeers, process_id: str
     ) -> GrantClient:
         settings = self._settings
         own_place = RouterPlace(settings.name, settings.data_centre)
@@ -178,7 +199,7 @@
             Holder(settings.name, process_id),
             self._routers.count,
             BootClock(),
-            HttpRouterPeers(peers, own_place),
+            router_peers,
             DataCentreHolders(own_place, lambda: self._routers.places),
         )
 
@@ -306,12 +327,17 @@
         add_token_resources(api, self._grants)
         add_overload_resource(api, self._overload.report)
         add_rate_limit_resources(api, self._limiter)
+        add_stream_resources(api, self._origin_finder, self._origin_replicator)
         return root
 
     def _store_status(self) -> StoreStatus:
         follower = self._targets_follower
         return StoreStatus(follower.last_response_at, follower.recovered_at)
 
+    def _registry_reads(self) -> RegistryReads:
+        follower = self._targets_follower
+        return RegistryReads(follower.loaded_at, follower.read_began_at)
+
     def _apply_config(self, update: Update) -> None:
         try:
             config = self._adapter.decode_config(update)
--- a/chicorystack/gateway/target_pool.py
+++ b/chicorystack/gateway/target_pool.py
@@ -209,6 +209,7 @@
             entry
             for entry in self._registry.ready_targets(call.service)
             if entry.id not in tried
+            and call.version in (None, entry.version)
             and self._notices.accepts_calls(entry)
             and not self._limiter.blocked_s(entry.incarnation)
         ]
--- a/chicorystack/gateway/targets.py
+++ b/chicorystack/gateway/targets.py
@@ -29,6 +29,7 @@
         sequence: Sequence number of the entry; increases within an
             incarnation.
         warmup_s: Remaining warm-up time after its start, in which it is slow.
+        version: Version of its software; empty if it states none.
     """
 
     id: str
@@ -40,6 +41,7 @@
     ready: bool
     sequence: int = 0
     warmup_s: float = 0.0
+    version: str = ""
 
     @property
     def incarnation(self) -> tuple[str, int]:
--- a/chicorystack/observe/exposition.py
+++ b/chicorystack/observe/exposition.py
@@ -41,6 +41,13 @@
     registry=REGISTRY,
 )
 
+streams_resumed_total = Counter(
+    "chicory_streams_resumed",
+    "Streams that callers took up again, by how their origin was found",
+    ["found_by"],
+    registry=REGISTRY,
+)
+
 
 def metrics_text() -> bytes:
     """Returns all metrics in the Prometheus text format."""
--- a/chicorystack/platform/headers.py
+++ b/chicorystack/platform/headers.py
@@ -19,6 +19,8 @@
 REQUEST_ID = b"x-chicorystack-request-attempt-id"
 DEADLINE_MS = b"x-chicorystack-deadline-ms"
 LAST_EVENT_ID = b"last-event-id"
+# ID of the request that brought the first event of a stream.
+RESUMES = b"resumes"
 MODEL = b"x-chicorystack-model"
 # Tokens of the prompt and most tokens of the response.
 TOKEN_LIMITS = b"x-chicorystack-token-usage"
@@ -103,6 +105,7 @@
             prompt_parts=_decode_prompt_parts(value_by_name.get(PROMPT_PARTS)),
             last_event_id=_decode_text(value_by_name.get(LAST_EVENT_ID)),
             received_at=raw.received_at,
+            resumes=_decode_text(value_by_name.get(RESUMES)),
         )
 
 
--- a/chicorystack/platform/target_entries.py
+++ b/chicorystack/platform/target_entries.py
@@ -21,6 +21,7 @@
         Zone: Its data centre.
         Slots: Requests that it can run concurrently.
         State: `ready` or `draining`.
+        Version: Version of its software.
         ColdRemainingMs: Remaining warm-up time after its start.
         Sequence: Sequence number of the entry.
         born: Unix time of its start in milliseconds.
@@ -31,6 +32,7 @@
     Zone: str
     Slots: int
     State: str
+    Version: str = ""
     ColdRemainingMs: float = 0.0
     Sequence: int = 0
     born: int = 0
@@ -66,6 +68,7 @@
             ready=READY_BY_STATE[entry.State],
             sequence=entry.Sequence,
             warmup_s=entry.ColdRemainingMs / 1000,
+            version=entry.Version,
         )
     except (msgspec.DecodeError, ValueError, KeyError):
         # Written by another program; not the entry of a target.
--- a/chicorystack/store/follower.py
+++ b/chicorystack/store/follower.py
@@ -51,6 +51,9 @@
 
     Attributes:
         loaded: Whether the newest record of each key has been read once.
+        loaded_at: Clock time at which it was, in seconds; None before.
+        read_began_at: Clock time at which the last successful read began, in
+            seconds.
         last_response_at: Clock time of the last successful read, in seconds.
         recovered_at: Clock time of the first successful read after the last
             failure, in seconds; 0 if no read has failed.
@@ -87,6 +90,8 @@
         self._failures = 0
         self._stopped = False
         self.loaded = False
+        self.loaded_at: float | None = None
+        self.read_began_at = 0.0
         self.last_response_at = 0.0
         self.recovered_at = 0.0
 
@@ -107,6 +112,7 @@
 
     async def _poll(self) -> float:
         """Reads once; returns the pause before the next read, in seconds."""
+        began_at = self._clock.seconds()
         try:
             page, is_snapshot = await self._read()
         except HistoryGoneError as error:
@@ -120,9 +126,12 @@
         if self._note_era():
             return 0.0
         self._end = page.end
-        self.loaded = True
+        if not self.loaded:
+            self.loaded = True
+            self.loaded_at = self._clock.seconds()
         if page.records or is_snapshot:
             self._on_update(Update(page.records, is_snapshot))
+        self.read_began_at = began_at
         return self._timing.pause_s
 
     async def _read(self) -> tuple[ReadResult, bool]:
--- /dev/null
+++ b/chicorystack/streams/finder.py
@@ -0,0 +1,182 @@
+"""Finds where a stream began that its caller takes up again.
+
+This router knows, or another one does; or only one version of the service can
+have begun it. Else the stream does not go on: versions are never guessed.
+"""
+
+import enum
+from typing import NamedTuple
+
+from twisted.internet import defer, task
+
+from chicorystack import defaults
+from chicorystack.observe.events import emit
+from chicorystack.observe.exposition import streams_resumed_total
+from chicorystack.streams.messages import (
+    OriginAnswer,
+    OriginQuery,
+    StreamOrigin,
+    StreamPeerError,
+    StreamPeers,
+    VersionsSeen,
+)
+from chicorystack.streams.origins import OriginTable
+from chicorystack.streams.versions import VersionHistory
+
+
+class FoundBy(enum.Enum):
+    """How the origin of a stream was found."""
+
+    OWN_RECORD = "own_record"
+    OTHER_ROUTER = "other_router"
+    ONLY_VERSION = "only_version"
+    UNKNOWN = "unknown"
+
+
+class ResumedStream(NamedTuple):
+    """A stream that is taken up.
+
+    Attributes:
+        request_id: ID of the request that brought its first event; empty if
+            the caller did not name it.
+        services: Services that may run the call.
+        began_within_s: Age that the stream has at most, in seconds.
+    """
+
+    request_id: str
+    services: tuple[str, ...]
+    began_within_s: float
+
+
+class OriginFinder:
+    """Finds origins, and answers other routers that look for them."""
+
+    def __init__(
+        self,
+        clock,
+        table: OriginTable,
+        peers: StreamPeers,
+        history: VersionHistory,
+    ):
+        self._clock = clock
+        self._table = table
+        self._peers = peers
+        self._history = history
+
+    async def find(self, stream: ResumedStream) -> StreamOrigin | None:
+        """Returns the stream's origin; None if it is not known for certain."""
+        origin, found_by = await self._find(stream)
+        streams_resumed_total.labels(found_by.value).inc()
+        emit(
+            "streams", "resumed", id=stream.request_id, origin=origin,
+            found_by=found_by.value,
+        )  # fmt: skip
+        return origin
+
+    def answer(self, query: OriginQuery) -> OriginAnswer:
+        """Answers another router."""
+        return OriginAnswer(
+            self._table.get(query.request_id),
+            self._history.seen(query.service, query.since_s),
+        )
+
+    async def _find(
+        self, stream: ResumedStream
+    ) -> tuple[StreamOrigin | None, FoundBy]:
+        own = self._table.origin(stream.request_id)
+        if own is not None:
+            return own, FoundBy.OWN_RECORD
+        asked_at = self._clock.seconds()
+        answers = await self._ask_all(stream)
+        for answer in answers:
+            if answer.record is not None:
+                self._table.add(answer.record)
+                return answer.record.origin, FoundBy.OTHER_ROUTER
+        only = await self._only_version(stream, answers, asked_at)
+        if only is None:
+            return None, FoundBy.UNKNOWN
+        return StreamOrigin(stream.services[0], only), FoundBy.ONLY_VERSION
+
+    async def _ask_all(self, stream: ResumedStream) -> list[OriginAnswer]:
+        """Asks all routers; returns as soon as one knows the origin."""
+        query = OriginQuery(
+            stream.request_id, stream.services[0], stream.began_within_s
+        )
+        answers: list[OriginAnswer] = []
+        done = defer.Deferred()
+        asking = [
+            defer.ensureDeferred(self._ask(router, query))
+            for router in self._peers.names()
+        ]
+        left = len(asking)
+
+        def collect(answer: OriginAnswer | None) -> None:
+            nonlocal left
+            left -= 1
+            if answer is not None:
+                answers.append(answer)
+            known = answer is not None and answer.record is not None
+            if (known or not left) and not done.called:
+                done.callback(None)
+
+        for answering in asking:
+            answering.addErrback(_log_failure)
+            answering.addCallback(collect)
+        if asking:
+            await done
+        return list(answers)
+
+    async def _ask(
+        self, router: str, query: OriginQuery
+    ) -> OriginAnswer | None:
+        try:
+            return await self._peers.query_origin(router, query)
+        except StreamPeerError as error:
+            emit("streams", "unanswered", router=router, reason=str(error))
+            return None
+
+    async def _only_version(
+        self,
+        stream: ResumedStream,
+        answers: list[OriginAnswer],
+        asked_at: float,
+    ) -> str | None:
+        """Returns the only version that can have begun the stream, if any.
+
+        The version was registered before the stream began, so a read of the
+        registry that begins now shows it, or some router has seen it go.
+        """
+        if len(stream.services) != 1:
+            return None
+        if not await self._registry_read_since(asked_at):
+            return None
+        own = self._history.seen(stream.services[0], stream.began_within_s)
+        return _only([own, *(answer.seen for answer in answers)])
+
+    async def _registry_read_since(self, at: float) -> bool:
+        """Waits for a read of the registry that begins at that time or later.
+
+        Returns:
+            Whether one has ended in time; False at once if the store has not
+            answered lately.
+        """
+        if self._history.read_began_at() < at - defaults.REGISTRY_FRESH_S:
+            return False
+        give_up_at = at + defaults.REGISTRY_FRESH_S
+        while self._history.read_began_at() < at:
+            if self._clock.seconds() >= give_up_at:
+                return False
+            await task.deferLater(self._clock, defaults.REGISTRY_FRESH_CHECK_S)
+        return True
+
+
+def _only(seen: list[VersionsSeen]) -> str | None:
+    """Returns the only version seen if one router has watched long enough."""
+    versions = {version for one in seen for version in one.versions}
+    if len(versions) != 1 or not any(one.complete for one in seen):
+        return None
+    return versions.pop()
+
+
+def _log_failure(failure) -> None:
+    emit("streams", "bug", reason=failure.getTraceback())
--- /dev/null
+++ b/chicorystack/streams/replicator.py
@@ -0,0 +1,101 @@
+"""Tells other routers where this router's streams began.
+
+Two routers of other data centres, where there are some, keep copies, so that
+a stream can be taken up elsewhere after its first router has died. Records are
+sent in batches: at longer intervals while only one version serves.
+"""
+
+from twisted.internet import defer
+
+from chicorystack import defaults
+from chicorystack.observe.events import emit
+from chicorystack.streams.messages import (
+    OriginNotice,
+    OriginRecord,
+    StreamPeerError,
+    StreamPeers,
+)
+from chicorystack.streams.origins import OriginTable
+from chicorystack.streams.versions import VersionHistory
+
+
+class OriginReplicator:
+    """Keeps origins of streams here and at other routers."""
+
+    def __init__(
+        self,
+        clock,
+        table: OriginTable,
+        peers: StreamPeers,
+        history: VersionHistory,
+    ):
+        self._clock = clock
+        self._table = table
+        self._peers = peers
+        self._history = history
+        self._unsent: list[OriginRecord] = []
+        self._flush_call = None
+        self._silent_until: dict[str, float] = {}
+
+    def record(self, record: OriginRecord) -> None:
+        """Records a stream whose first event is about to be sent."""
+        self._table.add(record)
+        self._unsent.append(record)
+        delay_s = (
+            defaults.STREAM_NOTICE_URGENT_S
+            if self._history.has_several(record.service)
+            else defaults.STREAM_NOTICE_S
+        )
+        self._schedule(delay_s)
+
+    def accept(self, notice: OriginNotice) -> None:
+        """Keeps copies of another router's records."""
+        for record in notice.records:
+            self._table.add(record)
+
+    def _schedule(self, delay_s: float) -> None:
+        """Schedules the next batch, or brings it forward."""
+        pending = self._flush_call
+        if pending is not None and pending.active():
+            if pending.getTime() <= self._clock.seconds() + delay_s:
+                return
+            pending.cancel()
+        self._flush_call = self._clock.callLater(delay_s, self._flush)
+
+    def _flush(self) -> None:
+        records, self._unsent = self._unsent, []
+        if records:
+            sending = defer.ensureDeferred(self._send(OriginNotice(records)))
+            sending.addErrback(_log_failure)
+
+    async def _send(self, notice: OriginNotice) -> None:
+        """Sends a batch until enough routers have it, or none is left."""
+        copies = 0
+        for router in self._answering():
+            if copies == defaults.STREAM_ORIGIN_COPIES:
+                return
+            try:
+                await self._peers.tell_origins(router, notice)
+                copies += 1
+            except StreamPeerError as error:
+                self._silent_until[router] = (
+                    self._clock.seconds() + defaults.STREAM_PEER_SILENT_S
+                )
+                emit(
+                    "streams", "not_told", router=router, reason=str(error),
+                    records=len(notice.records),
+                )  # fmt: skip
+
+    def _answering(self) -> list[str]:
+        """Returns the routers to tell; those that were silent come last."""
+        now = self._clock.seconds()
+        candidates = self._peers.witness_candidates()
+        ordered = sorted(
+            candidates,
+            key=lambda router: self._silent_until.get(router, 0.0) > now,
+        )
+        return ordered[: defaults.STREAM_ORIGIN_MAX_TRIES]
+
+
+def _log_failure(failure) -> None:
+    emit("streams", "bug", reason=failure.getTraceback())
--- /dev/null
+++ b/chicorystack/streams/versions.py
@@ -0,0 +1,89 @@
+"""Which versions of a service have been registered lately.
+
+If only one has been since before a stream began, the stream began at it.
+"""
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+from chicorystack import defaults
+from chicorystack.gateway.targets import TargetEntry, TargetRegistry
+from chicorystack.streams.messages import StreamOrigin, VersionsSeen
+
+
+class RegistryReads(NamedTuple):
+    """When the registry of targets was read.
+
+    Attributes:
+        first_at: Clock time of the first complete read, in seconds; None
+            before it.
+        began_at: Clock time when the last successful read began, in seconds.
+    """
+
+    first_at: float | None
+    began_at: float
+
+
+class VersionHistory:
+    """Versions by service, with those that have gone."""
+
+    def __init__(
+        self,
+        clock,
+        registry: TargetRegistry,
+        reads: Callable[[], RegistryReads],
+    ):
+        self._clock = clock
+        self._registry = registry
+        self._reads = reads
+        self._gone_at_by_origin: dict[StreamOrigin, float] = {}
+        registry.on_removed(self._record_gone)
+
+    def seen(self, service: str, since_s: float) -> VersionsSeen:
+        """Returns the versions of the last seconds.
+
+        Args:
+            service: The service.
+            since_s: How far back, in seconds.
+        """
+        now = self._clock.seconds()
+        current = {
+            entry.version
+            for entry in self._registry.entry_by_id.values()
+            if entry.service == service
+        }
+        gone = {
+            origin.version
+            for origin, gone_at in self._gone_at_by_origin.items()
+            if origin.service == service and gone_at >= now - since_s
+        }
+        return VersionsSeen(
+            sorted(current | gone), self._has_watched(now - since_s)
+        )
+
+    def read_began_at(self) -> float:
+        """Returns when the last read of the registry began, as clock time."""
+        return self._reads().began_at
+
+    def has_several(self, service: str) -> bool:
+        """Returns whether streams may break and meet another version."""
+        seen = self.seen(service, defaults.STREAM_ORIGIN_KEEP_S)
+        return len(seen.versions) > 1
+
+    def _has_watched(self, since: float) -> bool:
+        reads = self._reads()
+        if reads.first_at is None or reads.first_at > since:
+            return False
+        age_s = self._clock.seconds() - reads.began_at
+        return age_s <= defaults.REGISTRY_FRESH_S
+
+    def _record_gone(self, entry: TargetEntry) -> None:
+        now = self._clock.seconds()
+        self._gone_at_by_origin = {
+            origin: gone_at
+            for origin, gone_at in self._gone_at_by_origin.items()
+            if gone_at >= now - 2 * defaults.STREAM_ORIGIN_KEEP_S
+        }
+        self._gone_at_by_origin[StreamOrigin(entry.service, entry.version)] = (
+            now
+        )
--- a/tests/gateway/test_attempt_progress.py
+++ b/tests/gateway/test_attempt_progress.py
@@ -46,6 +46,7 @@
             codec,
             ResponseProgress(FakeWriter(), ""),
             lambda _head: None,
+            lambda: None,
         )
         self.results = []
         self.attempt.ended.addCallback(self.results.append)
--- a/tests/gateway/test_call_run.py
+++ b/tests/gateway/test_call_run.py
@@ -146,7 +146,13 @@
     writer = FakeWriter()
     retries = RetryBudget(clock, NO_RETRIES, lambda: 1)
     runner = CallRunner(
-        clock, make_call(kind), writer, FakeCodec(), pool, retries
+        clock,
+        make_call(kind),
+        writer,
+        FakeCodec(),
+        pool,
+        retries,
+        lambda _record: None,
     )
     running = defer.ensureDeferred(runner.run())
     assert running.called
--- a/tests/platform/test_stream_versions.py
+++ b/tests/platform/test_stream_versions.py
@@ -119,9 +119,6 @@
         assert len(versions_that_ran(fleet, *ids)) == 1
 
 
-@pytest.mark.xfail(
-    strict=True, reason="KNOWN-RED: versions are not read (issue 28)"
-)
 def test_stream_goes_on_within_its_answer_only_at_its_version(fleet):
     for name in ("i-llm-1", "i-llm-2", "i-llm-3"):
         fleet.set_engine_faults(name, break_after=4)
@@ -131,9 +128,6 @@
     assert [len(versions_that_ran(fleet, i)) for i in ids] == [1] * STREAMS
 
 
-@pytest.mark.xfail(
-    strict=True, reason="KNOWN-RED: versions are not read (issue 28)"
-)
 def test_stream_taken_up_at_another_router_keeps_its_version(fleet):
     streams = begin_streams(fleet, "router-1")
     for begun, _ in streams:
@@ -142,9 +136,6 @@
     assert_one_version_each(fleet, streams)
 
 
-@pytest.mark.xfail(
-    strict=True, reason="KNOWN-RED: versions are not read (issue 28)"
-)
 def test_version_outlasts_the_first_router_while_the_store_is_away(fleet):
     streams = begin_streams(fleet, "router-1")
     time.sleep(NOTICE_S)
@@ -155,9 +146,6 @@
     assert_one_version_each(fleet, streams)
 
 
-@pytest.mark.xfail(
-    strict=True, reason="KNOWN-RED: versions are not read (issue 28)"
-)
 def test_stream_that_no_router_knows_does_not_go_on_at_a_guess(fleet):
     stream = Stream(fleet, "router-1", "again-1", "never-begun", 3)
     assert stream.status == 503
--- a/tests/rate_limits/simulation.py
+++ b/tests/rate_limits/simulation.py
@@ -12,10 +12,10 @@
 from chicorystack.rate_limits.messages import RatePeerError
 from chicorystack.rate_limits.shares import Coordinator
 from chicorystack.rate_limits.statements import LimitTable
+from tests.support.router_network import Network, NetworkPeers
 
 TARGET = ("i-1", 5)
 STEP_S = 0.01
-ONE_WAY_S = (0.001, 0.004)
 ANSWER_S = (0.02, 0.4)
 # From the users' pages.
 GRACE_S = 3.0
@@ -41,70 +41,15 @@
     told: bool
 
 
-class Network:
-    """Delivers messages between routers, unless they are cut off or down."""
-
-    def __init__(self, clock, dice):
-        self.clock = clock
-        self.dice = dice
-        self.limiter_by_router = {}
-        self.cut_pairs = set()
-        self.cut_one_way = set()
-        self.dark = set()
-        self.messages = 0
-
-    def is_cut(self, sender, receiver):
-        return (
-            frozenset((sender, receiver)) in self.cut_pairs
-            or (sender, receiver) in self.cut_one_way
-            or bool({sender, receiver} & self.dark)
-        )
-
-    async def deliver(self, sender, receiver, handle):
-        self.messages += 1
-        await self.wait(self.dice.uniform(*ONE_WAY_S))
-        if self.is_cut(sender, receiver):
-            await self.wait(defaults.RATE_PEER_TIMEOUT_S)
-            raise RatePeerError(f"{receiver} does not answer")
-        limiter = self.limiter_by_router.get(receiver)
-        if limiter is None:
-            raise RatePeerError(f"{receiver} refuses", not_running=True)
-        answer = handle(limiter)
-        await self.wait(self.dice.uniform(*ONE_WAY_S))
-        if self.is_cut(receiver, sender):
-            await self.wait(defaults.RATE_PEER_TIMEOUT_S)
-            raise RatePeerError(f"{receiver}'s answer is lost")
-        return answer
-
-    def wait(self, seconds):
-        waiting = defer.Deferred()
-        self.clock.callLater(seconds, waiting.callback, None)
-        return waiting
-
-
-class Peers:
+class Peers(NetworkPeers):
     """RatePeers of one simulated router."""
 
-    def __init__(self, network, own, routers):
-        self.network = network
-        self.own = own
-        self.routers = routers
-        self.alive = True
-
-    def names(self):
-        return [name for name in self.routers if name != self.own]
-
     async def request_share(self, router, request):
         return await self.send(router, lambda r: r.lease_share(request))
 
     async def request_permits(self, router, request):
         return await self.send(router, lambda r: r.grant(request))
 
-    async def send(self, router, handle):
-        if not self.alive:
-            raise RatePeerError(f"{self.own} has been killed")
-        return await self.network.deliver(self.own, router, handle)
-
 
 class Fleet:
     """Routers with callers, and one target.
@@ -118,7 +63,9 @@
         self.clock = Clock()
         self.dice = random.Random(seed)
         random.seed(seed)
-        self.network = Network(self.clock, self.dice)
+        self.network = Network(
+            self.clock, self.dice, defaults.RATE_PEER_TIMEOUT_S, RatePeerError
+        )
         self.routers = [f"router-{number}" for number in range(routers)]
         self.calls_per_s_by_router = dict.fromkeys(self.routers, 0.0)
         self.limit = None
@@ -148,12 +95,12 @@
             lambda: len(self.routers),
         )
         limiter.start()
-        self.network.limiter_by_router[router] = limiter
+        self.network.router_by_name[router] = limiter
         self.restarted_at[router] = self.now
         self.told_at.pop(router, None)
 
     def kill(self, router):
-        del self.network.limiter_by_router[router]
+        del self.network.router_by_name[router]
         self.peers_by_router[router].alive = False
 
     def set_limit(self, limit):
@@ -174,7 +121,7 @@
     def run(self, seconds):
         end = self.now + seconds
         while self.now < end:
-            for router, limiter in list(self.network.limiter_by_router.items()):
+            for router, limiter in list(self.network.router_by_name.items()):
                 rate = self.calls_per_s_by_router[router]
                 if self.dice.random() < rate * STEP_S:
                     calling = self.call(router, limiter)
@@ -193,7 +140,7 @@
             self.refused_s.append(self.now - asked_at)
             return
         revision = limiter.limits.revision(TARGET)
-        await self.network.wait(self.dice.uniform(*ONE_WAY_S))
+        await self.network.delay()
         told_at = self.told_at.get(router, self.now)
         told = self.now - told_at >= TOLD_S
         self.arrivals.append(Arrival(self.now, router, told))
--- a/tests/rate_limits/test_limiter.py
+++ b/tests/rate_limits/test_limiter.py
@@ -118,15 +118,13 @@
     named_at = fleet.now
     fleet.run(8.0)
     middle = routers // 2
-    for one in fleet.routers[:middle]:
-        for other in fleet.routers[middle:]:
-            fleet.network.cut_pairs.add(frozenset((one, other)))
+    fleet.network.cut(fleet.routers[:middle], fleet.routers[middle:])
     fleet.run(8.0)
     cut_at = fleet.now
     fleet.run(20.0 + 10 / limit)
     assert fleet.excess(named_at + GRACE_S) <= 0
     assert used_fraction(fleet, cut_at, limit) >= NEARLY
-    fleet.network.cut_pairs.clear()
+    fleet.network.heal()
     fleet.run(20.0)
     assert fleet.excess(named_at + GRACE_S) <= 0
 
@@ -136,13 +134,8 @@
     fleet = limited_fleet(routers, 1.0, 100.0)
     named_at = fleet.now
     fleet.run(8.0)
-    pairs = [
-        frozenset((one, other))
-        for one in fleet.routers
-        for other in fleet.routers
-        if one != other
-    ]
-    fleet.network.cut_pairs.update(pairs)
+    for router in fleet.routers:
+        fleet.network.cut([router], set(fleet.routers) - {router})
     fleet.run(60.0)
     assert fleet.excess(named_at + GRACE_S) <= 0
 
@@ -166,9 +159,7 @@
     for router in fleet.routers:
         fleet.kill(router)
         fleet.start(router)
-        fleet.network.limiter_by_router[router].record_answer(
-            ("i-1", 5), 4.0, 0
-        )
+        fleet.network.router_by_name[router].record_answer(("i-1", 5), 4.0, 0)
     fleet.run(10.0)
     assert (
         fleet.count(restarted_at, restarted_at + defaults.RATE_RENEW_MIN_S)
@@ -196,17 +187,11 @@
         some = dice.sample(fleet.routers, dice.randint(1, max(1, routers // 3)))
         if action == "cut":
             others = [r for r in fleet.routers if r not in some]
-            pairs = {(a, b) for a in some for b in others}
-            if dice.random() < 0.3:
-                fleet.network.cut_one_way |= pairs
-            else:
-                fleet.network.cut_pairs |= {frozenset(p) for p in pairs}
+            fleet.network.cut(some, others, one_way=dice.random() < 0.3)
         elif action == "dark":
             fleet.network.dark.update(some)
         elif action == "heal":
-            fleet.network.cut_pairs.clear()
-            fleet.network.cut_one_way.clear()
-            fleet.network.dark.clear()
+            fleet.network.heal()
         elif action == "restart":
             for router in some:
                 fleet.kill(router)
--- /dev/null
+++ b/tests/streams/simulation.py
@@ -0,0 +1,235 @@
+"""Simulated routers whose callers take streams up again, among versions."""
+
+import random
+from typing import NamedTuple
+
+from twisted.internet import defer
+from twisted.internet.task import Clock
+
+from chicorystack import defaults
+from chicorystack.gateway.targets import (
+    StoreStatus,
+    TargetEntry,
+    TargetRegistry,
+)
+from chicorystack.streams.finder import OriginFinder, ResumedStream
+from chicorystack.streams.messages import (
+    OriginRecord,
+    StreamOrigin,
+    StreamPeerError,
+)
+from chicorystack.streams.origins import OriginTable
+from chicorystack.streams.replicator import OriginReplicator
+from chicorystack.streams.versions import RegistryReads, VersionHistory
+from chicorystack.web.exchange import Address
+from tests.support.router_network import Network, NetworkPeers
+
+SERVICE = "llm"
+STEP_S = 0.01
+TIMEOUT_S = 15.0
+FAULTS = ("cut", "dark", "store", "heal", "kill", "start", "release", "remove")
+
+
+class Begun(NamedTuple):
+    """A stream that has begun.
+
+    Attributes:
+        id: ID of the request that brought its first event.
+        router: Router that passed it on.
+        version: Version of the target that began it.
+        at: Time in seconds.
+    """
+
+    id: str
+    router: str
+    version: str
+    at: float
+
+
+class Peers(NetworkPeers):
+    """StreamPeers of one simulated router."""
+
+    async def tell_origins(self, router, notice):
+        return await self.send(router, lambda r: r.replicator.accept(notice))
+
+    async def query_origin(self, router, query):
+        return await self.send(router, lambda r: r.finder.answer(query))
+
+
+class Router:
+    """One process: a registry that it reads from the store, and origins."""
+
+    def __init__(self, fleet, name, peers):
+        self.fleet = fleet
+        self.name = name
+        self.peers = peers
+        self.reads = RegistryReads(None, 0.0)
+        clock = fleet.clock
+        self.registry = TargetRegistry(
+            clock, lambda: StoreStatus(clock.seconds(), 0.0)
+        )
+        table = OriginTable(clock)
+        history = VersionHistory(clock, self.registry, lambda: self.reads)
+        self.finder = OriginFinder(clock, table, peers, history)
+        self.replicator = OriginReplicator(clock, table, peers, history)
+        self.read_store(fleet.dice.uniform(0.0, defaults.TARGETS_READ_PAUSE_S))
+
+    def read_store(self, pause_s=defaults.TARGETS_READ_PAUSE_S):
+        if not self.peers.alive:
+            return
+        began_at = self.fleet.now
+        if self.fleet.reaches_store(self.name):
+            entries = list(self.fleet.entries.values())
+            self.registry.apply([(e.id, e) for e in entries], snapshot=True)
+            first_at = self.reads.first_at
+            self.reads = RegistryReads(
+                began_at if first_at is None else first_at, began_at
+            )
+        self.fleet.clock.callLater(pause_s, self.read_store)
+
+
+class Fleet:
+    """Routers, targets of several versions in a store, and callers.
+
+    Attributes:
+        store_cut: Routers that do not reach the store.
+        wrong: Streams that would have gone on at another version.
+        found: How many streams were taken up at a known origin, and in all.
+    """
+
+    def __init__(self, routers, seed, versions=("v1",)):
+        self.clock = Clock()
+        self.dice = random.Random(seed)
+        self.network = Network(
+            self.clock,
+            self.dice,
+            defaults.STREAM_PEER_TIMEOUT_S,
+            lambda message, _: StreamPeerError(message),
+        )
+        self.entries = {}
+        self.store_cut = set()
+        self.names = [f"router-{number}" for number in range(routers)]
+        self.begun = []
+        self.wrong = []
+        self.results = []
+        self.count = 0
+        for version in versions:
+            self.add_targets(version)
+        for name in self.names:
+            self.start(name)
+
+    @property
+    def now(self):
+        return self.clock.seconds()
+
+    def reaches_store(self, router):
+        return router not in self.store_cut | self.network.dark
+
+    def add_targets(self, version, count=2):
+        for _ in range(count):
+            self.count += 1
+            name = f"i-{self.count}"
+            self.entries[name] = TargetEntry(
+                name, 1, SERVICE, Address("10.0.0.1", 80), "z", 8, True,
+                version=version,
+            )  # fmt: skip
+
+    def remove_targets(self, version):
+        self.entries = {
+            name: entry
+            for name, entry in self.entries.items()
+            if entry.version != version
+        }
+
+    def start(self, name):
+        peers = Peers(self.network, name, self.names)
+        self.network.router_by_name[name] = Router(self, name, peers)
+
+    def kill(self, name):
+        router = self.network.router_by_name.pop(name, None)
+        if router is not None:
+            router.peers.alive = False
+
+    def running(self):
+        return list(self.network.router_by_name)
+
+    def begin(self, name):
+        """Begins a stream at a router, if that knows a target."""
+        router = self.network.router_by_name[name]
+        targets = list(router.registry.ready_targets(SERVICE))
+        if not targets:
+            return
+        version = self.dice.choice(targets).version
+        stream = Begun(f"s-{len(self.begun)}", name, version, self.now)
+        self.begun.append(stream)
+        record = OriginRecord(stream.id, SERVICE, version)
+        router.replicator.record(record)
+
+    def take_up(self, stream, name):
+        """Takes a stream up at a router; the result comes later."""
+        router = self.network.router_by_name[name]
+        resumed = ResumedStream(
+            stream.id, (SERVICE,), TIMEOUT_S * defaults.STREAM_AGE_TIMEOUTS
+        )
+        finding = defer.ensureDeferred(router.finder.find(resumed))
+        finding.addCallback(self.check, stream, name)
+        finding.addErrback(lambda failure: failure.raiseException())
+
+    def check(self, origin, stream, name):
+        if origin not in (None, StreamOrigin(SERVICE, stream.version)):
+            self.wrong.append((stream, name, origin))
+        self.results.append(origin is not None)
+
+    def inject(self, fault, versions):
+        """Injects one of FAULTS at some routers or at a version's targets."""
+        dice = self.dice
+        some = dice.sample(self.names, dice.randint(1, len(self.names) // 2))
+        others = set(self.names) - set(some)
+        {
+            "cut": lambda: self.network.cut(some, others, dice.random() < 0.3),
+            "dark": lambda: self.network.dark.update(some),
+            "store": lambda: self.store_cut.update(some),
+            "heal": self.heal,
+            "kill": lambda: [self.kill(name) for name in some],
+            "start": self.start_all,
+            "release": lambda: self.add_targets(dice.choice(versions)),
+            "remove": lambda: self.remove_targets(dice.choice(versions)),
+        }[fault]()
+
+    def heal(self):
+        self.network.heal()
+        self.store_cut.clear()
+
+    def start_all(self):
+        for name in self.names:
+            if name not in self.network.router_by_name:
+                self.start(name)
+
+    def run(self, seconds, begins_per_s=20.0):
+        end = self.now + seconds
+        while self.now < end:
+            running = self.running()
+            if running and self.dice.random() < begins_per_s * STEP_S:
+                self.begin(self.dice.choice(running))
+            self.clock.advance(STEP_S)
+
+    def versions_at(self, name):
+        router = self.network.router_by_name[name]
+        return {entry.version for entry in router.registry.entry_by_id.values()}
+
+    def recent(self, routers=None, age_s=5.0):
+        return [
+            stream
+            for stream in self.begun
+            if stream.at >= self.now - age_s
+            and (routers is None or stream.router in routers)
+        ]
+
+    def take_up_all(self, streams, names=None):
+        """Takes streams up at random routers; returns the part that goes on."""
+        self.results.clear()
+        for stream in streams:
+            self.take_up(stream, self.dice.choice(names or self.running()))
+        self.run(2.0, begins_per_s=0.0)
+        assert len(self.results) == len(streams)
+        return sum(self.results) / max(1, len(streams))
--- /dev/null
+++ b/tests/streams/test_resumed_streams.py
@@ -0,0 +1,151 @@
+"""Tests that streams go on only at their version, and nearly all of them."""
+
+import pytest
+
+from tests.streams.simulation import FAULTS, Fleet
+
+THREE = ("v1", "v1.1", "v1.2")
+NEARLY = 0.9
+
+
+@pytest.mark.parametrize("routers", [2, 4, 23, 70])
+def test_stream_is_taken_up_at_another_router_among_three_versions(routers):
+    fleet = Fleet(routers, 1, THREE)
+    fleet.run(6.0)
+    assert fleet.take_up_all(fleet.recent()) == 1.0
+    assert fleet.wrong == []
+
+
+@pytest.mark.parametrize("routers", [2, 4, 23])
+def test_streams_go_on_after_the_first_router_died_without_a_store(routers):
+    fleet = Fleet(routers, 1, THREE)
+    fleet.run(6.0)
+    fleet.store_cut.update(fleet.names)
+    fleet.kill("router-0")
+    lost = fleet.recent({"router-0"})
+    assert fleet.take_up_all(lost) >= NEARLY
+    assert fleet.wrong == []
+
+
+def test_streams_go_on_after_a_data_centre_went_dark():
+    fleet = Fleet(9, 1, THREE)
+    fleet.run(6.0)
+    # The witnesses of each router are the first two others by name.
+    fleet.network.dark.update(fleet.names[6:])
+    lost = fleet.recent(set(fleet.names[6:]))
+    assert fleet.take_up_all(lost, fleet.names[:6]) >= NEARLY
+    assert fleet.wrong == []
+
+
+def test_only_version_is_no_guess():
+    fleet = Fleet(4, 1, ("v1",))
+    fleet.run(40.0)
+    fleet.begin("router-0")
+    fleet.kill("router-0")
+    assert fleet.take_up_all(fleet.begun[-1:]) == 1.0
+    assert fleet.wrong == []
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        lambda fleet: fleet.add_targets("v2"),
+        lambda fleet: (fleet.remove_targets("v1"), fleet.add_targets("v2")),
+        lambda fleet: fleet.store_cut.update(fleet.names),
+    ],
+)
+def test_unknown_stream_does_not_go_on_at_a_guess(change):
+    fleet = Fleet(4, 1, ("v1",))
+    fleet.run(40.0)
+    change(fleet)
+    fleet.run(1.0, begins_per_s=0.0)
+    fleet.begin("router-0")
+    fleet.kill("router-0")
+    assert fleet.take_up_all(fleet.begun[-1:]) == 0.0
+    assert fleet.wrong == []
+
+
+def test_routers_that_have_just_started_do_not_infer_a_version():
+    fleet = Fleet(3, 1, ("v1",))
+    fleet.run(40.0)
+    begun = fleet.begun[-1:]
+    for name in fleet.names:
+        fleet.kill(name)
+    fleet.remove_targets("v1")
+    fleet.add_targets("v2")
+    for name in fleet.names:
+        fleet.start(name)
+    fleet.run(2.0, begins_per_s=0.0)
+    assert fleet.take_up_all(begun) == 0.0
+
+
+def test_router_that_has_just_started_learns_from_one_that_has_watched():
+    fleet = Fleet(3, 1, ("v1",))
+    fleet.run(40.0)
+    fleet.kill("router-1")
+    fleet.start("router-1")
+    fleet.run(1.0, begins_per_s=0.0)
+    fleet.begin("router-0")
+    fleet.kill("router-0")
+    assert fleet.take_up_all(fleet.begun[-1:], ["router-1"]) == 1.0
+    assert fleet.wrong == []
+
+
+def test_version_that_another_router_has_just_seen_is_not_missed():
+    fleet = Fleet(2, 1, ("v1",))
+    fleet.run(40.0)
+    fleet.remove_targets("v1")
+    fleet.add_targets("v2")
+    fresh = []
+    while not fresh:
+        fleet.run(0.01, begins_per_s=0.0)
+        fresh = [n for n in fleet.names if fleet.versions_at(n) == {"v2"}]
+    (first,) = fresh
+    (second,) = set(fleet.names) - {first}
+    fleet.begin(first)
+    fleet.kill(first)
+    assert fleet.versions_at(second) == {"v1"}
+    assert fleet.take_up_all(fleet.begun[-1:], [second]) == 0.0
+    assert fleet.wrong == []
+
+
+def test_version_seen_by_one_router_only_counts():
+    fleet = Fleet(3, 1, ("v1",))
+    fleet.run(40.0)
+    fleet.store_cut.update(["router-1", "router-2"])
+    fleet.add_targets("v2")
+    fleet.run(1.0, begins_per_s=0.0)
+    fleet.remove_targets("v1")
+    fleet.run(1.0, begins_per_s=0.0)
+    fleet.begin("router-0")
+    fleet.kill("router-0")
+    assert fleet.take_up_all(fleet.begun[-1:]) == 0.0
+    assert fleet.wrong == []
+
+
+@pytest.mark.parametrize("seed", range(40))
+def test_random_faults_never_join_two_versions(seed):
+    """Releases, kills, cuts and outages in random order, and streams."""
+    dice = Fleet(0, seed).dice
+    fleet = Fleet(
+        dice.choice([2, 3, 4, 8, 23]), seed, dice.choice([THREE, ("v1",)])
+    )
+    fleet.run(dice.uniform(0.5, 40.0), begins_per_s=5.0)
+    for _ in range(12):
+        fleet.inject(dice.choice(FAULTS), [*THREE, "v2", "v2.1"])
+        fleet.run(dice.uniform(0.0, 1.5))
+        running = fleet.running()
+        for stream in dice.sample(fleet.begun, min(6, len(fleet.begun))):
+            if running:
+                fleet.take_up(stream, dice.choice(running))
+    fleet.run(2.0)
+    assert fleet.wrong == []
+
+
+@pytest.mark.parametrize("seed", range(10))
+def test_nearly_all_streams_go_on_after_a_router_died(seed):
+    fleet = Fleet(4, seed, THREE)
+    fleet.run(8.0)
+    fleet.kill(fleet.dice.choice(fleet.names))
+    assert fleet.take_up_all(fleet.recent()) >= NEARLY
+    assert fleet.wrong == []
