Sort budget/ into a folder for each of its two ways

budget/keeper is the way of the own interface, budget/grants the way on the platform; no module of one imports the other. Modules lose the prefix grant_; what was grants.py is process_grants.py after its class. Tests follow. Moves and imports only.

--- a/bench/budget_sim.py
+++ b/bench/budget_sim.py
@@ -16,11 +16,10 @@
 from chicorystack import defaults
 from chicorystack.agent.closures import AgentRegistration, EpochFence
 from chicorystack.agent.usage_table import HolderUsage
-from chicorystack.budget.client import BudgetClient, KeeperLocator
-from chicorystack.budget.closures import ClosingQuery
-from chicorystack.budget.keeper_service import KeeperService
-from chicorystack.budget.ledger import ShardLedger
-from chicorystack.budget.messages import (
+from chicorystack.budget.keeper.client import BudgetClient, KeeperLocator
+from chicorystack.budget.keeper.closures import ClosingQuery
+from chicorystack.budget.keeper.ledger import ShardLedger
+from chicorystack.budget.keeper.messages import (
     CustomerQuery,
     Exchange,
     HolderQuery,
@@ -28,8 +27,9 @@
     Usage,
     shard_stream,
 )
-from chicorystack.budget.snapshot import LedgerReader
-from chicorystack.budget.wallet import Reservation
+from chicorystack.budget.keeper.service import KeeperService
+from chicorystack.budget.keeper.snapshot import LedgerReader
+from chicorystack.budget.keeper.wallet import Reservation
 from chicorystack.calls.messages import CallHeader
 from chicorystack.errors import ApiError
 from chicorystack.infrastructure.log_client import LogClient
--- a/bench/budgets.py
+++ b/bench/budgets.py
@@ -15,8 +15,8 @@
 from loguru import logger
 
 from bench.budget_sim import SHARD, Simulation
-from chicorystack.budget.messages import shard_stream
-from chicorystack.budget.sharing import (
+from chicorystack.budget.keeper.messages import shard_stream
+from chicorystack.budget.keeper.sharing import (
     DelegationSharing,
     DemandSharing,
     EqualSharing,
--- a/bench/chaos.py
+++ b/bench/chaos.py
@@ -33,8 +33,8 @@
     send,
     wait_until,
 )
-from chicorystack.budget.ledger import ShardLedger
-from chicorystack.budget.messages import Usage, shard_stream
+from chicorystack.budget.keeper.ledger import ShardLedger
+from chicorystack.budget.keeper.messages import Usage, shard_stream
 from chicorystack.calls.messages import EngineRequest
 from chicorystack.infrastructure.messages import LogEntry, ReadPage
 from chicorystack.standin.engine import generate_words
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -15,9 +15,9 @@
 
 import msgspec
 
-from chicorystack.budget.ledger import ShardLedger
-from chicorystack.budget.messages import Usage
-from chicorystack.budget.wallet import ShardWallet
+from chicorystack.budget.keeper.ledger import ShardLedger
+from chicorystack.budget.keeper.messages import Usage
+from chicorystack.budget.keeper.wallet import ShardWallet
 from chicorystack.calls.messages import LoadReport
 from chicorystack.config.model import build_config
 from chicorystack.config.parser import parse_config
--- a/bench/soak.py
+++ b/bench/soak.py
@@ -6,8 +6,8 @@
 from hypothesis import HealthCheck, seed, settings
 from hypothesis.stateful import run_state_machine_as_test
 
-from tests.budget.grant_machine import GrantMachine
-from tests.budget.machine import BudgetMachine
+from tests.budget.grants.machine import GrantMachine
+from tests.budget.keeper.machine import BudgetMachine
 
 # `budget` is that of the own interface, `grants` that of the platform.
 MACHINE_BY_NAME = {"budget": BudgetMachine, "grants": GrantMachine}
--- a/chicorystack/agent/closures.py
+++ b/chicorystack/agent/closures.py
@@ -4,7 +4,7 @@
 
 from chicorystack import defaults
 from chicorystack.agent.usage_table import HolderUsage
-from chicorystack.budget.closures import (
+from chicorystack.budget.keeper.closures import (
     CLOSURES_STREAM,
     AgentStarted,
     ClosingQuery,
--- a/chicorystack/agent/main.py
+++ b/chicorystack/agent/main.py
@@ -10,7 +10,7 @@
 from chicorystack.agent.service_calls import ServiceCalls
 from chicorystack.agent.target_client import TargetClient
 from chicorystack.agent.usage_table import AgentUsage
-from chicorystack.budget.closures import ClosingQuery
+from chicorystack.budget.keeper.closures import ClosingQuery
 from chicorystack.calls.answer_cache import AnswerCache
 from chicorystack.calls.messages import Empty, EngineLoad
 from chicorystack.calls.run_journal import RunJournal, append_interval_s
--- a/chicorystack/agent/usage_table.py
+++ b/chicorystack/agent/usage_table.py
@@ -10,8 +10,12 @@
 from typing import NamedTuple
 
 from chicorystack import defaults
-from chicorystack.budget.closures import AgedUsage
-from chicorystack.budget.messages import Usage, holder_of_use, number_of_use
+from chicorystack.budget.keeper.closures import AgedUsage
+from chicorystack.budget.keeper.messages import (
+    Usage,
+    holder_of_use,
+    number_of_use,
+)
 from chicorystack.calls.messages import CallHeader
 from chicorystack.calls.usage_table import UsageTable
 
--- a/chicorystack/budget/grant_account.py
+++ b/chicorystack/budget/grants/account.py
@@ -4,12 +4,12 @@
 from collections.abc import Callable
 
 from chicorystack import defaults
-from chicorystack.budget.grant_records import (
+from chicorystack.budget.grants.ration import RationLimiter
+from chicorystack.budget.grants.records import (
     BootTimeClock,
     GrantTerms,
     Holder,
 )
-from chicorystack.budget.ration import RationLimiter
 from chicorystack.observe.invariants import require
 
 
--- a/chicorystack/budget/announcer.py
+++ b/chicorystack/budget/grants/announcer.py
@@ -5,10 +5,10 @@
 from twisted.internet import defer, task
 
 from chicorystack import defaults
-from chicorystack.budget.grant_records import GrantRecord, Holder
-from chicorystack.budget.grants import ProcessGrants
-from chicorystack.budget.loans import LoanError
-from chicorystack.budget.witnesses import (
+from chicorystack.budget.grants.loans import LoanError
+from chicorystack.budget.grants.process_grants import ProcessGrants
+from chicorystack.budget.grants.records import GrantRecord, Holder
+from chicorystack.budget.grants.witnesses import (
     LimitNotice,
     LimitsReport,
     LimitsRequest,
--- a/chicorystack/budget/boot_clock.py
+++ b/chicorystack/budget/grants/boot_clock.py
@@ -3,7 +3,7 @@
 import time
 from collections.abc import Callable
 
-from chicorystack.budget.grant_records import Instant
+from chicorystack.budget.grants.records import Instant
 
 
 def _seconds_since_boot() -> float:
--- a/chicorystack/budget/borrower.py
+++ b/chicorystack/budget/grants/borrower.py
@@ -6,20 +6,20 @@
 from twisted.internet import defer
 
 from chicorystack import defaults
-from chicorystack.budget.announcer import LimitAnnouncer
-from chicorystack.budget.grant_records import (
-    GrantLedger,
-    GrantRecord,
-    Holder,
-)
-from chicorystack.budget.grants import ProcessGrants
-from chicorystack.budget.holders import Holders
-from chicorystack.budget.loans import (
+from chicorystack.budget.grants.announcer import LimitAnnouncer
+from chicorystack.budget.grants.holders import Holders
+from chicorystack.budget.grants.loans import (
     HandOver,
     LoanError,
     LoanPeers,
     LoanRequest,
 )
+from chicorystack.budget.grants.process_grants import ProcessGrants
+from chicorystack.budget.grants.records import (
+    GrantLedger,
+    GrantRecord,
+    Holder,
+)
 from chicorystack.observe.events import emit
 
 
--- a/chicorystack/budget/grant_queue.py
+++ b/chicorystack/budget/grants/call_queue.py
@@ -4,7 +4,7 @@
 
 from twisted.internet import defer
 
-from chicorystack.budget.grants import ProcessGrants
+from chicorystack.budget.grants.process_grants import ProcessGrants
 from chicorystack.errors import ChicoryError
 
 
--- a/chicorystack/budget/grant_client.py
+++ b/chicorystack/budget/grants/client.py
@@ -3,19 +3,22 @@
 from collections.abc import Callable
 
 from chicorystack import defaults
-from chicorystack.budget.announcer import LimitAnnouncer
-from chicorystack.budget.borrower import Borrower
-from chicorystack.budget.grant_partition import GrantPartition
-from chicorystack.budget.grant_records import (
+from chicorystack.budget.grants.announcer import LimitAnnouncer
+from chicorystack.budget.grants.borrower import Borrower
+from chicorystack.budget.grants.holders import EachRouterHolds, Holders
+from chicorystack.budget.grants.lender import Lender
+from chicorystack.budget.grants.loans import GrantsReport, RouterPeers
+from chicorystack.budget.grants.partition import GrantPartition
+from chicorystack.budget.grants.process_grants import (
+    ProcessGrants,
+    review_interval_factor,
+)
+from chicorystack.budget.grants.records import (
     BootTimeClock,
     GrantReservation,
     Holder,
 )
-from chicorystack.budget.grants import ProcessGrants, review_interval_factor
-from chicorystack.budget.holders import EachRouterHolds, Holders
-from chicorystack.budget.lender import Lender
-from chicorystack.budget.loans import GrantsReport, RouterPeers
-from chicorystack.budget.witnesses import LimitTable
+from chicorystack.budget.grants.witnesses import LimitTable
 from chicorystack.store.keyed_log import KeyedLog, Partition
 from chicorystack.util import stable_hash
 
--- a/chicorystack/budget/lender.py
+++ b/chicorystack/budget/grants/lender.py
@@ -2,15 +2,15 @@
 
 from typing import NamedTuple
 
-from chicorystack.budget.announcer import LimitAnnouncer
-from chicorystack.budget.grant_account import Account
-from chicorystack.budget.grants import ProcessGrants
-from chicorystack.budget.loans import (
+from chicorystack.budget.grants.account import Account
+from chicorystack.budget.grants.announcer import LimitAnnouncer
+from chicorystack.budget.grants.loans import (
     HandOver,
     HandOverAnswer,
     LoanAnswer,
     LoanRequest,
 )
+from chicorystack.budget.grants.process_grants import ProcessGrants
 from chicorystack.observe.events import emit
 
 
--- a/chicorystack/budget/loans.py
+++ b/chicorystack/budget/grants/loans.py
@@ -14,8 +14,8 @@
 
 import msgspec
 
-from chicorystack.budget.grant_records import GrantRecord
-from chicorystack.budget.witnesses import WitnessPeers
+from chicorystack.budget.grants.records import GrantRecord
+from chicorystack.budget.grants.witnesses import WitnessPeers
 from chicorystack.errors import ChicoryError
 
 
--- a/chicorystack/budget/grant_partition.py
+++ b/chicorystack/budget/grants/partition.py
@@ -7,15 +7,15 @@
 from twisted.internet import defer, task
 
 from chicorystack import defaults
-from chicorystack.budget.announcer import LimitAnnouncer
-from chicorystack.budget.borrower import Borrower
-from chicorystack.budget.grant_records import (
+from chicorystack.budget.grants.announcer import LimitAnnouncer
+from chicorystack.budget.grants.borrower import Borrower
+from chicorystack.budget.grants.process_grants import ProcessGrants
+from chicorystack.budget.grants.records import (
     GrantLedger,
     GrantReservation,
     split_key,
 )
-from chicorystack.budget.grants import ProcessGrants
-from chicorystack.budget.token_search import TokenSearch
+from chicorystack.budget.grants.token_search import TokenSearch
 from chicorystack.observe.events import emit
 from chicorystack.store.keyed_log import (
     ConflictError,
--- a/chicorystack/budget/grants.py
+++ b/chicorystack/budget/grants/process_grants.py
@@ -22,8 +22,9 @@
 import msgspec
 
 from chicorystack import defaults
-from chicorystack.budget.grant_account import Account
-from chicorystack.budget.grant_records import (
+from chicorystack.budget.grants.account import Account
+from chicorystack.budget.grants.holders import Holders
+from chicorystack.budget.grants.records import (
     BootTimeClock,
     GrantLedger,
     GrantRecord,
@@ -33,8 +34,10 @@
     record_key,
     split_key,
 )
-from chicorystack.budget.holders import Holders
-from chicorystack.budget.witnesses import AnnouncedLimits, PredecessorLimits
+from chicorystack.budget.grants.witnesses import (
+    AnnouncedLimits,
+    PredecessorLimits,
+)
 from chicorystack.observe.events import emit
 from chicorystack.store.keyed_log import KeyedRecord
 
--- a/chicorystack/budget/ration.py
+++ b/chicorystack/budget/grants/ration.py
@@ -8,7 +8,7 @@
 """
 
 from chicorystack import defaults
-from chicorystack.budget.grant_records import BootTimeClock, Instant
+from chicorystack.budget.grants.records import BootTimeClock, Instant
 
 
 class RationLimiter:
--- a/chicorystack/budget/token_search.py
+++ b/chicorystack/budget/grants/token_search.py
@@ -11,15 +11,15 @@
 from twisted.internet import defer
 
 from chicorystack import defaults
-from chicorystack.budget.announcer import LimitAnnouncer
-from chicorystack.budget.borrower import Borrower
-from chicorystack.budget.grant_queue import (
+from chicorystack.budget.grants.announcer import LimitAnnouncer
+from chicorystack.budget.grants.borrower import Borrower
+from chicorystack.budget.grants.call_queue import (
     GrantError,
     GrantQueue,
     WaitingCall,
 )
-from chicorystack.budget.grant_records import GrantLedger, GrantReservation
-from chicorystack.budget.grants import ProcessGrants
+from chicorystack.budget.grants.process_grants import ProcessGrants
+from chicorystack.budget.grants.records import GrantLedger, GrantReservation
 from chicorystack.observe.events import emit
 
 
--- a/chicorystack/budget/witnesses.py
+++ b/chicorystack/budget/grants/witnesses.py
@@ -19,7 +19,7 @@
 import msgspec
 
 from chicorystack import defaults
-from chicorystack.budget.grant_records import GrantTerms, Holder
+from chicorystack.budget.grants.records import GrantTerms, Holder
 
 
 class LimitNotice(msgspec.Struct, frozen=True):
--- /dev/null
+++ b/chicorystack/budget/keeper/__init__.py
@@ -0,0 +1,1 @@
+"""The keeper: one router per shard hands out tokens and settles their use."""
--- a/chicorystack/budget/client.py
+++ b/chicorystack/budget/keeper/client.py
@@ -7,7 +7,7 @@
 from twisted.internet import defer, task
 
 from chicorystack import defaults
-from chicorystack.budget.messages import (
+from chicorystack.budget.keeper.messages import (
     BudgetsReply,
     CustomerReply,
     Exchange,
@@ -15,7 +15,7 @@
     HolderQuery,
     HolderReply,
 )
-from chicorystack.budget.wallet import Reservation, ShardWallet
+from chicorystack.budget.keeper.wallet import Reservation, ShardWallet
 from chicorystack.errors import ApiError, ChicoryError
 from chicorystack.observe.logs import part_logger
 from chicorystack.util import new_id, rendezvous_order
--- a/chicorystack/budget/closures.py
+++ b/chicorystack/budget/keeper/closures.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from chicorystack.budget.messages import RecordHeader, Usage
+from chicorystack.budget.keeper.messages import RecordHeader, Usage
 from chicorystack.infrastructure.messages import LogEntry
 from chicorystack.util import new_id
 
--- a/chicorystack/budget/keeper.py
+++ b/chicorystack/budget/keeper/keeper.py
@@ -15,14 +15,14 @@
 from typing import NamedTuple
 
 from chicorystack import defaults
-from chicorystack.budget.ledger import ShardLedger
-from chicorystack.budget.messages import (
+from chicorystack.budget.keeper.ledger import ShardLedger
+from chicorystack.budget.keeper.messages import (
     BudgetView,
     Exchange,
     Usage,
     holder_of_use,
 )
-from chicorystack.budget.sharing import SharingPolicy
+from chicorystack.budget.keeper.sharing import SharingPolicy
 from chicorystack.observe.invariants import require
 
 
--- a/chicorystack/budget/ledger.py
+++ b/chicorystack/budget/keeper/ledger.py
@@ -7,7 +7,7 @@
 from typing import NamedTuple, TypedDict
 
 from chicorystack import defaults
-from chicorystack.budget.messages import (
+from chicorystack.budget.keeper.messages import (
     CustomerCreated,
     EpochSettled,
     KeeperClaimed,
--- a/chicorystack/budget/keeper_service.py
+++ b/chicorystack/budget/keeper/service.py
@@ -5,8 +5,8 @@
 from twisted.internet import defer, task
 
 from chicorystack import defaults
-from chicorystack.budget.closures import ClosingQuery, ClosingReply
-from chicorystack.budget.messages import (
+from chicorystack.budget.keeper.closures import ClosingQuery, ClosingReply
+from chicorystack.budget.keeper.messages import (
     BudgetsReply,
     CustomerQuery,
     CustomerReply,
@@ -15,9 +15,9 @@
     HolderQuery,
     HolderReply,
 )
-from chicorystack.budget.shard_controller import ShardController
-from chicorystack.budget.shard_journal import ClosureFollower
-from chicorystack.budget.sharing import MixedSharing, SharingPolicy
+from chicorystack.budget.keeper.shard_controller import ShardController
+from chicorystack.budget.keeper.shard_journal import ClosureFollower
+from chicorystack.budget.keeper.sharing import MixedSharing, SharingPolicy
 from chicorystack.errors import ApiError
 from chicorystack.infrastructure.log_client import AppendPacer, LogClient
 from chicorystack.infrastructure.messages import Vm
--- a/chicorystack/budget/settlement.py
+++ b/chicorystack/budget/keeper/settlement.py
@@ -14,7 +14,7 @@
 from typing import NamedTuple, Protocol
 
 from chicorystack import defaults
-from chicorystack.budget.closures import (
+from chicorystack.budget.keeper.closures import (
     CLOSURES_STREAM,
     AgedUsage,
     AgentGone,
@@ -23,9 +23,9 @@
     ClosureLedger,
     epoch_closed,
 )
-from chicorystack.budget.keeper import ShardKeeper
-from chicorystack.budget.messages import HolderQuery, Usage
-from chicorystack.budget.shard_writer import Journal, ShardWriter
+from chicorystack.budget.keeper.keeper import ShardKeeper
+from chicorystack.budget.keeper.messages import HolderQuery, Usage
+from chicorystack.budget.keeper.shard_writer import Journal, ShardWriter
 from chicorystack.observe.decisions import decisions
 from chicorystack.util import new_id
 
--- a/chicorystack/budget/shard_controller.py
+++ b/chicorystack/budget/keeper/shard_controller.py
@@ -7,13 +7,13 @@
 from twisted.internet import defer, task
 
 from chicorystack import defaults
-from chicorystack.budget.closures import (
+from chicorystack.budget.keeper.closures import (
     CLOSURES_STREAM,
     epoch_closed,
 )
-from chicorystack.budget.keeper import ShardKeeper
-from chicorystack.budget.ledger import ShardLedger
-from chicorystack.budget.messages import (
+from chicorystack.budget.keeper.keeper import ShardKeeper
+from chicorystack.budget.keeper.ledger import ShardLedger
+from chicorystack.budget.keeper.messages import (
     BudgetsReply,
     CustomerReply,
     Exchange,
@@ -22,19 +22,19 @@
     KeeperClaimed,
     shard_stream,
 )
-from chicorystack.budget.settlement import (
+from chicorystack.budget.keeper.settlement import (
     EpochSettlement,
     HolderProbe,
     Peers,
 )
-from chicorystack.budget.shard_journal import (
+from chicorystack.budget.keeper.shard_journal import (
     ClosureFollower,
     ShardJournal,
     StreamRefresher,
 )
-from chicorystack.budget.shard_writer import ShardWriter
-from chicorystack.budget.sharing import SharingPolicy
-from chicorystack.budget.snapshot import LedgerReader, snapshot_records
+from chicorystack.budget.keeper.shard_writer import ShardWriter
+from chicorystack.budget.keeper.sharing import SharingPolicy
+from chicorystack.budget.keeper.snapshot import LedgerReader, snapshot_records
 from chicorystack.errors import ApiError
 from chicorystack.infrastructure.log_client import (
     AppendPacer,
--- a/chicorystack/budget/shard_journal.py
+++ b/chicorystack/budget/keeper/shard_journal.py
@@ -5,7 +5,7 @@
 from twisted.internet import defer, task
 
 from chicorystack import defaults
-from chicorystack.budget.closures import CLOSURES_STREAM, ClosureLedger
+from chicorystack.budget.keeper.closures import CLOSURES_STREAM, ClosureLedger
 from chicorystack.errors import ApiError
 from chicorystack.infrastructure.log_client import (
     AppendPacer,
--- a/chicorystack/budget/shard_writer.py
+++ b/chicorystack/budget/keeper/shard_writer.py
@@ -5,8 +5,8 @@
 
 from twisted.internet import defer
 
-from chicorystack.budget.keeper import Demand, ShardKeeper
-from chicorystack.budget.messages import (
+from chicorystack.budget.keeper.keeper import Demand, ShardKeeper
+from chicorystack.budget.keeper.messages import (
     EpochSettled,
     Exchange,
     LedgerBatch,
--- a/chicorystack/budget/snapshot.py
+++ b/chicorystack/budget/keeper/snapshot.py
@@ -13,8 +13,8 @@
 import msgspec
 
 from chicorystack import defaults
-from chicorystack.budget.ledger import LedgerState, ShardLedger
-from chicorystack.budget.messages import RecordHeader
+from chicorystack.budget.keeper.ledger import LedgerState, ShardLedger
+from chicorystack.budget.keeper.messages import RecordHeader
 from chicorystack.infrastructure.messages import LogEntry
 from chicorystack.observe.logs import part_logger
 from chicorystack.util import new_id
--- a/chicorystack/budget/wallet.py
+++ b/chicorystack/budget/keeper/wallet.py
@@ -8,7 +8,7 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
-from chicorystack.budget.messages import (
+from chicorystack.budget.keeper.messages import (
     Exchange,
     ExchangeReply,
     Usage,
--- a/chicorystack/ctl/audit.py
+++ b/chicorystack/ctl/audit.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from chicorystack.budget.messages import (
+from chicorystack.budget.keeper.messages import (
     CustomerCreated,
     KeeperClaimed,
     RecordHeader,
--- a/chicorystack/ctl/customers.py
+++ b/chicorystack/ctl/customers.py
@@ -4,7 +4,7 @@
 import secrets
 from typing import TypedDict
 
-from chicorystack.budget.messages import (
+from chicorystack.budget.keeper.messages import (
     BudgetsReply,
     CustomerCreated,
     ToppedUp,
--- a/chicorystack/ctl/fleet.py
+++ b/chicorystack/ctl/fleet.py
@@ -6,7 +6,7 @@
 
 from twisted.internet import defer
 
-from chicorystack.budget.messages import shard_stream
+from chicorystack.budget.keeper.messages import shard_stream
 from chicorystack.config.messages import CONFIG_STREAM
 from chicorystack.ctl.session import Session
 from chicorystack.ctl.tables import format_table, format_time
--- a/chicorystack/ctl/session.py
+++ b/chicorystack/ctl/session.py
@@ -9,8 +9,11 @@
 from twisted.internet.defer import ensureDeferred
 
 from chicorystack import defaults
-from chicorystack.budget.client import KeeperLocator, KeeperUnreachableError
-from chicorystack.budget.messages import CustomerCreated, ToppedUp
+from chicorystack.budget.keeper.client import (
+    KeeperLocator,
+    KeeperUnreachableError,
+)
+from chicorystack.budget.keeper.messages import CustomerCreated, ToppedUp
 from chicorystack.config.messages import CONFIG_STREAM, ConfigRecord
 from chicorystack.config.store import ConfigStore
 from chicorystack.errors import ApiError, UserError
--- a/chicorystack/gateway/dispatcher.py
+++ b/chicorystack/gateway/dispatcher.py
@@ -6,9 +6,9 @@
 from twisted.internet import defer
 
 from chicorystack import defaults
-from chicorystack.budget.grant_client import GrantClient
-from chicorystack.budget.grant_queue import GrantError
-from chicorystack.budget.grant_records import GrantReservation
+from chicorystack.budget.grants.call_queue import GrantError
+from chicorystack.budget.grants.client import GrantClient
+from chicorystack.budget.grants.records import GrantReservation
 from chicorystack.errors import ApiError
 from chicorystack.gateway.admission import Admission, RefusedError, refuse
 from chicorystack.gateway.attempt import TargetCodec
--- a/chicorystack/gateway/loan_http.py
+++ b/chicorystack/gateway/loan_http.py
@@ -12,9 +12,9 @@
 import msgspec
 from twisted.web import resource
 
-from chicorystack.budget.grant_client import GrantClient
-from chicorystack.budget.holders import RouterPlace
-from chicorystack.budget.loans import (
+from chicorystack.budget.grants.client import GrantClient
+from chicorystack.budget.grants.holders import RouterPlace
+from chicorystack.budget.grants.loans import (
     GrantsReport,
     HandOver,
     HandOverAnswer,
@@ -22,7 +22,7 @@
     LoanError,
     LoanRequest,
 )
-from chicorystack.budget.witnesses import (
+from chicorystack.budget.grants.witnesses import (
     LimitNotice,
     LimitNoticeAnswer,
     LimitsReport,
--- a/chicorystack/gateway/peers.py
+++ b/chicorystack/gateway/peers.py
@@ -8,7 +8,7 @@
 from twisted.internet import defer, task
 
 from chicorystack import defaults
-from chicorystack.budget.holders import RouterPlace
+from chicorystack.budget.grants.holders import RouterPlace
 from chicorystack.observe.events import emit
 from chicorystack.store.follower import Follower, PollTiming, Update
 from chicorystack.store.keyed_log import (
--- a/chicorystack/gateway/process.py
+++ b/chicorystack/gateway/process.py
@@ -8,10 +8,10 @@
 from twisted.web import resource
 
 from chicorystack import defaults
-from chicorystack.budget.boot_clock import BootClock
-from chicorystack.budget.grant_client import GrantClient
-from chicorystack.budget.grant_records import Holder
-from chicorystack.budget.holders import DataCentreHolders, RouterPlace
+from chicorystack.budget.grants.boot_clock import BootClock
+from chicorystack.budget.grants.client import GrantClient
+from chicorystack.budget.grants.holders import DataCentreHolders, RouterPlace
+from chicorystack.budget.grants.records import Holder
 from chicorystack.gateway.attempt import TargetCodec
 from chicorystack.gateway.caller_http import (
     CallerCodec,
--- a/chicorystack/router/admission.py
+++ b/chicorystack/router/admission.py
@@ -7,8 +7,8 @@
 from twisted.web import server
 
 from chicorystack import defaults
-from chicorystack.budget.client import BudgetClient
-from chicorystack.budget.wallet import Reservation
+from chicorystack.budget.keeper.client import BudgetClient
+from chicorystack.budget.keeper.wallet import Reservation
 from chicorystack.calls.messages import CallHeader, GenerateBody
 from chicorystack.config.model import FleetConfig, Operation, Service
 from chicorystack.errors import ApiError
--- a/chicorystack/router/attempts.py
+++ b/chicorystack/router/attempts.py
@@ -6,7 +6,7 @@
 from twisted.web import server
 
 from chicorystack import defaults
-from chicorystack.budget.wallet import Reservation
+from chicorystack.budget.keeper.wallet import Reservation
 from chicorystack.observe.decisions import decisions
 from chicorystack.observe.logs import part_logger
 from chicorystack.observe.metrics import metrics
--- a/chicorystack/router/auth.py
+++ b/chicorystack/router/auth.py
@@ -4,8 +4,11 @@
 from typing import NamedTuple
 
 from chicorystack import defaults
-from chicorystack.budget.client import BudgetClient, KeeperUnreachableError
-from chicorystack.budget.messages import CustomerReply
+from chicorystack.budget.keeper.client import (
+    BudgetClient,
+    KeeperUnreachableError,
+)
+from chicorystack.budget.keeper.messages import CustomerReply
 from chicorystack.errors import ApiError
 from chicorystack.util import secret_hash, shard_of
 
--- a/chicorystack/router/call_log.py
+++ b/chicorystack/router/call_log.py
@@ -2,7 +2,7 @@
 
 from twisted.web import server
 
-from chicorystack.budget.wallet import Reservation
+from chicorystack.budget.keeper.wallet import Reservation
 from chicorystack.errors import ApiError
 from chicorystack.observe.decisions import decisions
 from chicorystack.observe.logs import part_logger
--- a/chicorystack/router/dispatcher.py
+++ b/chicorystack/router/dispatcher.py
@@ -4,7 +4,7 @@
 from twisted.web import server
 
 from chicorystack import defaults
-from chicorystack.budget.wallet import Reservation
+from chicorystack.budget.keeper.wallet import Reservation
 from chicorystack.config.model import FleetConfig
 from chicorystack.config.store import ConfigStore
 from chicorystack.errors import ApiError
--- a/chicorystack/router/drain.py
+++ b/chicorystack/router/drain.py
@@ -5,8 +5,8 @@
 from twisted.internet import defer, task
 
 from chicorystack import defaults
-from chicorystack.budget.client import BudgetClient
-from chicorystack.budget.keeper_service import KeeperService
+from chicorystack.budget.keeper.client import BudgetClient
+from chicorystack.budget.keeper.service import KeeperService
 from chicorystack.calls.messages import Empty
 from chicorystack.errors import ApiError
 from chicorystack.membership.routers import LiveRouters, RouterLeaving
--- a/chicorystack/router/main.py
+++ b/chicorystack/router/main.py
@@ -3,13 +3,13 @@
 from twisted.internet import reactor, task
 
 from chicorystack import defaults
-from chicorystack.budget.client import BudgetClient, KeeperLocator
-from chicorystack.budget.keeper_service import KeeperService
-from chicorystack.budget.messages import (
+from chicorystack.budget.keeper.client import BudgetClient, KeeperLocator
+from chicorystack.budget.keeper.messages import (
     CustomerQuery,
     Exchange,
     HolderQuery,
 )
+from chicorystack.budget.keeper.service import KeeperService
 from chicorystack.calls.messages import Empty, LoadReport
 from chicorystack.config.messages import ConfigInForce, ConfigQuery
 from chicorystack.config.model import Service
--- a/chicorystack/router/plain_attempts.py
+++ b/chicorystack/router/plain_attempts.py
@@ -3,7 +3,7 @@
 from twisted.web import server
 
 from chicorystack import defaults
-from chicorystack.budget.wallet import Reservation
+from chicorystack.budget.keeper.wallet import Reservation
 from chicorystack.errors import ApiError
 from chicorystack.router.admission import Call
 from chicorystack.router.attempts import Attempt
--- a/chicorystack/router/resources.py
+++ b/chicorystack/router/resources.py
@@ -2,7 +2,7 @@
 
 from twisted.web import resource, server
 
-from chicorystack.budget.client import BudgetClient
+from chicorystack.budget.keeper.client import BudgetClient
 from chicorystack.config.store import ConfigStore
 from chicorystack.router.auth import CustomerDirectory
 from chicorystack.router.dispatcher import Dispatcher
--- a/chicorystack/router/settler.py
+++ b/chicorystack/router/settler.py
@@ -4,8 +4,8 @@
 
 from twisted.internet import defer, task
 
-from chicorystack.budget.client import BudgetClient
-from chicorystack.budget.wallet import Reservation
+from chicorystack.budget.keeper.client import BudgetClient
+from chicorystack.budget.keeper.wallet import Reservation
 from chicorystack.calls.usage_table import SettleReply, SettleRequest
 from chicorystack.errors import ApiError
 from chicorystack.observe.logs import part_logger
--- a/tests/budget/grant_machine.py
+++ b/tests/budget/grants/machine.py
@@ -11,9 +11,9 @@
 )
 from twisted.internet import defer, task
 
-from chicorystack.budget.grant_client import GrantClient
-from chicorystack.budget.grant_records import Holder, Instant, record_key
-from chicorystack.budget.loans import LoanError
+from chicorystack.budget.grants.client import GrantClient
+from chicorystack.budget.grants.loans import LoanError
+from chicorystack.budget.grants.records import Holder, Instant, record_key
 from chicorystack.observe.invariants import violations_by_name
 from chicorystack.store.keyed_log import StoreError
 from tests.support.fake_log import FakeLog
--- a/tests/budget/test_boot_clock.py
+++ b/tests/budget/grants/test_boot_clock.py
@@ -1,7 +1,7 @@
 """Steps of the wall clock do not raise limits or hide a predecessor's use."""
 
-from chicorystack.budget.boot_clock import BootClock
-from chicorystack.budget.grant_records import GrantTerms
+from chicorystack.budget.grants.boot_clock import BootClock
+from chicorystack.budget.grants.records import GrantTerms
 
 
 class Vm:
--- a/tests/budget/test_holders.py
+++ b/tests/budget/grants/test_holders.py
@@ -9,17 +9,17 @@
 from twisted.internet import defer, task
 
 from chicorystack import defaults
-from chicorystack.budget.grant_client import GrantClient
-from chicorystack.budget.grant_records import Holder
-from chicorystack.budget.holders import (
+from chicorystack.budget.grants.client import GrantClient
+from chicorystack.budget.grants.holders import (
     DataCentreHolders,
     EachRouterHolds,
     RouterPlace,
 )
-from chicorystack.budget.loans import LoanError
-from tests.budget import grant_machine
-from tests.budget.grant_machine import GrantMachine, VmClock
-from tests.budget.test_grant_machine import SEARCH
+from chicorystack.budget.grants.loans import LoanError
+from chicorystack.budget.grants.records import Holder
+from tests.budget.grants import machine as grant_machine
+from tests.budget.grants.machine import GrantMachine, VmClock
+from tests.budget.grants.test_machine import SEARCH
 from tests.support.fake_log import FakeLog
 from tests.support.router_peers import RouterPeers
 
--- a/tests/budget/test_loans.py
+++ b/tests/budget/grants/test_loans.py
@@ -5,13 +5,13 @@
 from twisted.internet import defer, task
 
 from chicorystack import defaults
-from chicorystack.budget.grant_account import Account
-from chicorystack.budget.grant_client import GrantClient
-from chicorystack.budget.grant_queue import GrantError
-from chicorystack.budget.grant_records import Holder, Instant
-from chicorystack.budget.loans import HandOver, LoanError, LoanRequest
-from tests.budget.grant_machine import GrantMachine
-from tests.budget.test_grant_machine import SEEK
+from chicorystack.budget.grants.account import Account
+from chicorystack.budget.grants.call_queue import GrantError
+from chicorystack.budget.grants.client import GrantClient
+from chicorystack.budget.grants.loans import HandOver, LoanError, LoanRequest
+from chicorystack.budget.grants.records import Holder, Instant
+from tests.budget.grants.machine import GrantMachine
+from tests.budget.grants.test_machine import SEEK
 from tests.support.fake_log import FakeLog
 from tests.support.router_peers import RouterPeers
 
--- a/tests/budget/test_grant_machine.py
+++ b/tests/budget/grants/test_machine.py
@@ -11,15 +11,16 @@
 from twisted.internet import defer, task
 
 from chicorystack import defaults
-from chicorystack.budget import grant_records, witnesses
-from chicorystack.budget.grant_client import GrantClient
-from chicorystack.budget.grant_partition import GrantPartition
-from chicorystack.budget.grant_records import GrantTerms, Holder, Instant
-from chicorystack.budget.grants import Account, ProcessGrants
-from chicorystack.budget.holders import EachRouterHolds
+from chicorystack.budget.grants import records as grant_records
+from chicorystack.budget.grants import witnesses
+from chicorystack.budget.grants.client import GrantClient
+from chicorystack.budget.grants.holders import EachRouterHolds
+from chicorystack.budget.grants.partition import GrantPartition
+from chicorystack.budget.grants.process_grants import Account, ProcessGrants
+from chicorystack.budget.grants.records import GrantTerms, Holder, Instant
 from chicorystack.observe.invariants import violations_by_name
 from chicorystack.store.keyed_log import KeyedRecord
-from tests.budget.grant_machine import GrantMachine
+from tests.budget.grants.machine import GrantMachine
 from tests.support.fake_log import FakeLog
 
 SEARCH = settings(
--- a/tests/budget/test_ration.py
+++ b/tests/budget/grants/test_ration.py
@@ -5,8 +5,8 @@
 import pytest
 
 from chicorystack import defaults
-from chicorystack.budget.grant_queue import GrantError
-from tests.budget.test_loans import PREPAID, Routers
+from chicorystack.budget.grants.call_queue import GrantError
+from tests.budget.grants.test_loans import PREPAID, Routers
 
 SMALL, LARGE = 40, 400
 
--- a/tests/budget/test_grants_store_era.py
+++ b/tests/budget/grants/test_store_era.py
@@ -8,16 +8,16 @@
 import pytest
 from twisted.internet import defer, task
 
-from chicorystack.budget.grant_client import GrantClient
-from chicorystack.budget.grant_records import (
+from chicorystack.budget.grants.client import GrantClient
+from chicorystack.budget.grants.loans import LoanError
+from chicorystack.budget.grants.records import (
     GrantLedger,
     GrantRecord,
     Holder,
     record_key,
 )
-from chicorystack.budget.loans import LoanError
 from chicorystack.store.keyed_log import StoreError
-from tests.budget.grant_machine import VmClock
+from tests.budget.grants.machine import VmClock
 from tests.support.fake_log import FakeLog
 from tests.support.router_peers import RouterPeers
 
--- a/tests/budget/test_tokens_of_dead_routers.py
+++ b/tests/budget/grants/test_tokens_of_dead_routers.py
@@ -3,8 +3,8 @@
 import msgspec
 import pytest
 
-from chicorystack.budget.grant_records import GrantRecord, split_key
-from tests.budget.grant_machine import CUSTOMERS, ROUTERS, GrantMachine
+from chicorystack.budget.grants.records import GrantRecord, split_key
+from tests.budget.grants.machine import CUSTOMERS, ROUTERS, GrantMachine
 
 # Most tokens, as a part of a budget, that deaths of single routers may cost.
 MAX_LOST_PART = 0.04
--- a/tests/budget/test_witnesses.py
+++ b/tests/budget/grants/test_witnesses.py
@@ -4,7 +4,9 @@
 import pytest
 
 from chicorystack import defaults
-from chicorystack.budget.grant_records import (
+from chicorystack.budget.grants.holders import EachRouterHolds
+from chicorystack.budget.grants.process_grants import ProcessGrants
+from chicorystack.budget.grants.records import (
     GrantLedger,
     GrantRecord,
     GrantTerms,
@@ -12,9 +14,7 @@
     Instant,
     record_key,
 )
-from chicorystack.budget.grants import ProcessGrants
-from chicorystack.budget.holders import EachRouterHolds
-from chicorystack.budget.witnesses import (
+from chicorystack.budget.grants.witnesses import (
     AnnouncedLimits,
     LimitNotice,
     LimitsReport,
--- a/tests/budget/test_client.py
+++ b/tests/budget/keeper/test_client.py
@@ -2,8 +2,8 @@
 
 from twisted.internet.task import Clock
 
-from chicorystack.budget.client import BudgetClient
-from chicorystack.budget.wallet import BudgetWallet
+from chicorystack.budget.keeper.client import BudgetClient
+from chicorystack.budget.keeper.wallet import BudgetWallet
 
 
 def test_runs_of_different_shards_have_different_ids():
--- a/tests/budget/test_keeper_and_wallet.py
+++ b/tests/budget/keeper/test_keeper_and_wallet.py
@@ -2,11 +2,11 @@
 
 import json
 
-from chicorystack.budget.keeper import Demand, ShardKeeper
-from chicorystack.budget.ledger import ShardLedger
-from chicorystack.budget.messages import ExchangeReply
-from chicorystack.budget.sharing import FractionSharing
-from chicorystack.budget.wallet import ShardWallet
+from chicorystack.budget.keeper.keeper import Demand, ShardKeeper
+from chicorystack.budget.keeper.ledger import ShardLedger
+from chicorystack.budget.keeper.messages import ExchangeReply
+from chicorystack.budget.keeper.sharing import FractionSharing
+from chicorystack.budget.keeper.wallet import ShardWallet
 
 
 class Log:
--- a/tests/budget/test_ledger.py
+++ b/tests/budget/keeper/test_ledger.py
@@ -3,8 +3,8 @@
 import json
 
 from chicorystack import defaults
-from chicorystack.budget.ledger import ShardLedger
-from chicorystack.budget.messages import Usage
+from chicorystack.budget.keeper.ledger import ShardLedger
+from chicorystack.budget.keeper.messages import Usage
 
 BUDGET = "c/b"
 
--- a/tests/budget/test_budget_machine.py
+++ b/tests/budget/keeper/test_machine.py
@@ -2,7 +2,7 @@
 
 from hypothesis import settings
 
-from tests.budget.machine import BudgetMachine
+from tests.budget.keeper.machine import BudgetMachine
 
 TestBudgetMachine = BudgetMachine.TestCase
 TestBudgetMachine.settings = settings(
--- a/tests/budget/test_snapshot.py
+++ b/tests/budget/keeper/test_snapshot.py
@@ -9,11 +9,11 @@
 
 from bench.budget_sim import SHARD, Simulation
 from chicorystack import defaults
-from chicorystack.budget.ledger import ShardLedger
-from chicorystack.budget.messages import Usage
-from chicorystack.budget.snapshot import LedgerReader, snapshot_records
+from chicorystack.budget.keeper.ledger import ShardLedger
+from chicorystack.budget.keeper.messages import Usage
+from chicorystack.budget.keeper.snapshot import LedgerReader, snapshot_records
 from chicorystack.observe import invariants
-from tests.budget.test_ledger import batch, claim, customer, top_up
+from tests.budget.keeper.test_ledger import batch, claim, customer, top_up
 
 BUDGET = "c/b"
 
--- a/tests/web/test_fuzz.py
+++ b/tests/web/test_fuzz.py
@@ -12,17 +12,17 @@
 from chicorystack.agent.closures import EpochFence
 from chicorystack.agent.leaving import LeavingState
 from chicorystack.agent.usage_table import HolderUsage
-from chicorystack.budget.client import BudgetClient
-from chicorystack.budget.closures import ClosingQuery
-from chicorystack.budget.keeper_service import KeeperService
-from chicorystack.budget.messages import (
+from chicorystack.budget.keeper.client import BudgetClient
+from chicorystack.budget.keeper.closures import ClosingQuery
+from chicorystack.budget.keeper.messages import (
     BudgetsReply,
     CustomerQuery,
     CustomerReply,
     Exchange,
     HolderQuery,
 )
-from chicorystack.budget.wallet import Reservation, ShardWallet
+from chicorystack.budget.keeper.service import KeeperService
+from chicorystack.budget.keeper.wallet import Reservation, ShardWallet
 from chicorystack.calls.messages import CALL_HEADER, LoadReport
 from chicorystack.config.messages import ConfigInForce, ConfigQuery
 from chicorystack.config.model import build_config
