Translate errors of messages between routers in one place; one entry to origins of streams

Three classes each caught PeerError around the same call; PeerChannel does so for all. The process builds StreamOrigins as a whole.

--- a/chicorystack/gateway/dispatcher.py
+++ b/chicorystack/gateway/dispatcher.py
@@ -21,8 +21,8 @@
 from chicorystack.quarantine import blame
 from chicorystack.quarantine.strikes import StrikeTable
 from chicorystack.routing.retry_budget import RetryBudget
-from chicorystack.streams.finder import OriginFinder, ResumedStream
-from chicorystack.streams.replicator import OriginReplicator
+from chicorystack.streams.finder import ResumedStream
+from chicorystack.streams.stream_origins import StreamOrigins
 
 
 class Dispatcher:
@@ -41,8 +41,7 @@
         grants: GrantClient,
         retries: RetryBudget,
         strikes: StrikeTable,
-        origins: OriginFinder,
-        replicator: OriginReplicator,
+        origins: StreamOrigins,
     ):
         self._clock = clock
         self._config = config
@@ -52,7 +51,6 @@
         self._retries = retries
         self._strikes = strikes
         self._origins = origins
-        self._replicator = replicator
         self._admission = Admission(clock, config)
         self.open_requests = 0
 
@@ -92,7 +90,7 @@
             self._codec,
             self._pool,
             self._retries,
-            self._replicator.record,
+            self._origins.replicator.record,
         )
         spent = 0
         try:
@@ -128,7 +126,7 @@
             return call
         services = tuple(split.service for split in route.services)
         began_within_s = route.timeout_s * defaults.STREAM_AGE_TIMEOUTS
-        origin = await self._origins.find(
+        origin = await self._origins.finder.find(
             ResumedStream(request.resumes, services, began_within_s)
         )
         if origin is None:
--- a/chicorystack/gateway/loan_http.py
+++ b/chicorystack/gateway/loan_http.py
@@ -7,11 +7,10 @@
 /v1/limits-report` accepts a LimitsRequest and returns a LimitsReport.
 """
 
-from typing import TypeVar
-
 import msgspec
 from twisted.web import resource
 
+from chicorystack import defaults
 from chicorystack.budget.grants.client import GrantClient
 from chicorystack.budget.grants.holders import RouterPlace
 from chicorystack.budget.grants.loans import (
@@ -30,8 +29,8 @@
 )
 from chicorystack.gateway.peer_http import (
     MessageResource,
+    PeerChannel,
     PeerClient,
-    PeerError,
 )
 from chicorystack.util import stable_hash
 
@@ -40,7 +39,6 @@
 GRANTS_PATH = b"/v1/grants"
 LIMITS_PATH = b"/v1/limits"
 LIMITS_REPORT_PATH = b"/v1/limits-report"
-ResponseT = TypeVar("ResponseT")
 
 
 class GrantsRequest(msgspec.Struct, frozen=True):
@@ -74,12 +72,16 @@
             client: Sends the messages.
             own: This router.
         """
-        self._client = client
+        self._channel = PeerChannel(
+            client,
+            defaults.PEER_TIMEOUT_S,
+            lambda error: LoanError(str(error), error.maybe_done),
+        )
         self._own = own
 
     def names(self) -> list[str]:
         """See LoanPeers."""
-        return self._client.names()
+        return self._channel.names()
 
     def witness_candidates(self) -> list[str]:
         """See WitnessPeers.
@@ -88,9 +90,9 @@
         a whole. The rest of the order differs from router to router, so that
         each is a witness of about as many others.
         """
-        near = set(self._client.names(self._own.data_centre))
+        near = set(self._channel.names(self._own.data_centre))
         return sorted(
-            self._client.names(),
+            self._channel.names(),
             key=lambda router: (
                 router in near,
                 stable_hash(f"{self._own.router}\0{router}"),
@@ -101,13 +103,15 @@
         self, router: str, notice: LimitNotice
     ) -> LimitNoticeAnswer:
         """See WitnessPeers."""
-        return await self._send(router, LIMITS_PATH, notice, LimitNoticeAnswer)
+        return await self._channel.send(
+            router, LIMITS_PATH, notice, LimitNoticeAnswer
+        )
 
     async def fetch_limits(
         self, router: str, request: LimitsRequest
     ) -> LimitsReport:
         """See WitnessPeers."""
-        return await self._send(
+        return await self._channel.send(
             router, LIMITS_REPORT_PATH, request, LimitsReport
         )
 
@@ -115,28 +119,16 @@
         self, router: str, request: LoanRequest
     ) -> LoanAnswer:
         """See LoanPeers."""
-        return await self._send(router, LOANS_PATH, request, LoanAnswer)
+        return await self._channel.send(router, LOANS_PATH, request, LoanAnswer)
 
     async def hand_over(self, router: str, message: HandOver) -> HandOverAnswer:
         """See LoanPeers."""
-        return await self._send(
+        return await self._channel.send(
             router, HAND_OVERS_PATH, message, HandOverAnswer
         )
 
     async def fetch_grants(self, router: str) -> GrantsReport:
         """See LoanPeers."""
-        return await self._send(
+        return await self._channel.send(
             router, GRANTS_PATH, GrantsRequest(), GrantsReport
         )
-
-    async def _send(
-        self,
-        router: str,
-        path: bytes,
-        message: object,
-        response_type: type[ResponseT],
-    ) -> ResponseT:
-        try:
-            return await self._client.send(router, path, message, response_type)
-        except PeerError as error:
-            raise LoanError(str(error), error.maybe_done) from error
--- a/chicorystack/gateway/peer_http.py
+++ b/chicorystack/gateway/peer_http.py
@@ -151,3 +151,48 @@
             )
             self._pool_by_address[address] = pool
         return pool
+
+
+class PeerChannel:
+    """Sends the messages of one part of the program, with errors of its own."""
+
+    def __init__(
+        self,
+        client: PeerClient,
+        timeout_s: float,
+        translate: Callable[[PeerError], ChicoryError],
+    ):
+        """Uses a client.
+
+        Args:
+            client: Sends the messages.
+            timeout_s: Time limit of each message, in seconds.
+            translate: Returns the part's error for a failed message.
+        """
+        self._client = client
+        self._timeout_s = timeout_s
+        self._translate = translate
+
+    def names(self, data_centre: str | None = None) -> list[str]:
+        """See PeerClient."""
+        return self._client.names(data_centre)
+
+    async def send(
+        self,
+        router: str,
+        path: bytes,
+        message: object,
+        response_type: type[ResponseT],
+    ) -> ResponseT:
+        """Sends a message and returns the decoded response.
+
+        Raises:
+            ChicoryError: The part's error, if the router has left or sent no
+                valid response.
+        """
+        try:
+            return await self._client.send(
+                router, path, message, response_type, self._timeout_s
+            )
+        except PeerError as error:
+            raise self._translate(error) from error
--- a/chicorystack/gateway/process.py
+++ b/chicorystack/gateway/process.py
@@ -65,10 +65,8 @@
 from chicorystack.routing.retry_budget import RetryBudget
 from chicorystack.store.follower import Follower, PollTiming, Update
 from chicorystack.store.keyed_log import KeyedLog, Partition, StoreError
-from chicorystack.streams.finder import OriginFinder
-from chicorystack.streams.origins import OriginTable
-from chicorystack.streams.replicator import OriginReplicator
-from chicorystack.streams.versions import RegistryReads, VersionHistory
+from chicorystack.streams.stream_origins import StreamOrigins
+from chicorystack.streams.versions import RegistryReads
 from chicorystack.util import new_id
 
 GRANTS_TOPIC = "keyed.grants"
@@ -147,14 +145,11 @@
             LimitTable(self._registry.is_registered),
             self._routers.count,
         )
-        stream_peers = HttpStreamPeers(peers, router_peers.witness_candidates)
-        origin_table = OriginTable(reactor)
-        history = VersionHistory(reactor, self._registry, self._registry_reads)
-        self._origin_finder = OriginFinder(
-            reactor, origin_table, stream_peers, history
-        )
-        self._origin_replicator = OriginReplicator(
-            reactor, origin_table, stream_peers, history
+        self._origins = StreamOrigins(
+            reactor,
+            self._registry,
+            self._registry_reads,
+            HttpStreamPeers(peers, router_peers.witness_candidates),
         )
         self._retries = RetryBudget(
             reactor, settings.retry_bounds, self._routers.count
@@ -171,8 +166,7 @@
             self._grants,
             self._retries,
             self._strikes,
-            self._origin_finder,
-            self._origin_replicator,
+            self._origins,
         )
         self._link = LinkMeter(reactor, settings.link_bytes_per_s)
         self._loop_delay = LoopDelayMeter(reactor)
@@ -327,7 +321,7 @@
         add_token_resources(api, self._grants)
         add_overload_resource(api, self._overload.report)
         add_rate_limit_resources(api, self._limiter)
-        add_stream_resources(api, self._origin_finder, self._origin_replicator)
+        add_stream_resources(api, self._origins)
         return root
 
     def _store_status(self) -> StoreStatus:
--- a/chicorystack/gateway/rate_limit_http.py
+++ b/chicorystack/gateway/rate_limit_http.py
@@ -4,15 +4,13 @@
 /v1/rate-permits` accepts a PermitRequest and returns a PermitAnswer.
 """
 
-from typing import TypeVar
-
 from twisted.web import resource
 
 from chicorystack import defaults
 from chicorystack.gateway.peer_http import (
     MessageResource,
+    PeerChannel,
     PeerClient,
-    PeerError,
 )
 from chicorystack.rate_limits.limiter import RateLimiter
 from chicorystack.rate_limits.messages import (
@@ -25,7 +23,6 @@
 
 SHARES_PATH = b"/v1/rate-shares"
 PERMITS_PATH = b"/v1/rate-permits"
-AnswerT = TypeVar("AnswerT")
 
 
 def add_rate_limit_resources(
@@ -42,38 +39,28 @@
     """HTTP implementation of RatePeers."""
 
     def __init__(self, client: PeerClient):
-        self._client = client
+        self._channel = PeerChannel(
+            client,
+            defaults.RATE_PEER_TIMEOUT_S,
+            lambda error: RatePeerError(str(error), error.not_running),
+        )
 
     def names(self) -> list[str]:
         """See RatePeers."""
-        return self._client.names()
+        return self._channel.names()
 
     async def request_share(
         self, router: str, request: ShareRequest
     ) -> ShareAnswer:
         """See RatePeers."""
-        return await self._send(router, SHARES_PATH, request, ShareAnswer)
+        return await self._channel.send(
+            router, SHARES_PATH, request, ShareAnswer
+        )
 
     async def request_permits(
         self, router: str, request: PermitRequest
     ) -> PermitAnswer:
         """See RatePeers."""
-        return await self._send(router, PERMITS_PATH, request, PermitAnswer)
-
-    async def _send(
-        self,
-        router: str,
-        path: bytes,
-        message: object,
-        answer_type: type[AnswerT],
-    ) -> AnswerT:
-        try:
-            return await self._client.send(
-                router,
-                path,
-                message,
-                answer_type,
-                defaults.RATE_PEER_TIMEOUT_S,
-            )
-        except PeerError as error:
-            raise RatePeerError(str(error), error.not_running) from error
+        return await self._channel.send(
+            router, PERMITS_PATH, request, PermitAnswer
+        )
--- a/chicorystack/gateway/stream_http.py
+++ b/chicorystack/gateway/stream_http.py
@@ -5,17 +5,15 @@
 """
 
 from collections.abc import Callable
-from typing import TypeVar
 
 from twisted.web import resource
 
 from chicorystack import defaults
 from chicorystack.gateway.peer_http import (
     MessageResource,
+    PeerChannel,
     PeerClient,
-    PeerError,
 )
-from chicorystack.streams.finder import OriginFinder
 from chicorystack.streams.messages import (
     NoticeAnswer,
     OriginAnswer,
@@ -23,24 +21,25 @@
     OriginQuery,
     StreamPeerError,
 )
-from chicorystack.streams.replicator import OriginReplicator
+from chicorystack.streams.stream_origins import StreamOrigins
 
 NOTICE_PATH = b"/v1/stream-origins"
 QUERY_PATH = b"/v1/stream-origin"
-AnswerT = TypeVar("AnswerT")
 
 
 def add_stream_resources(
-    api: resource.Resource, finder: OriginFinder, replicator: OriginReplicator
+    api: resource.Resource, origins: StreamOrigins
 ) -> None:
     """Adds the resources for origins of streams below `/v1`."""
 
     def accept(notice: OriginNotice) -> NoticeAnswer:
-        replicator.accept(notice)
+        origins.replicator.accept(notice)
         return NoticeAnswer()
 
     api.putChild(b"stream-origins", MessageResource(OriginNotice, accept))
-    api.putChild(b"stream-origin", MessageResource(OriginQuery, finder.answer))
+    api.putChild(
+        b"stream-origin", MessageResource(OriginQuery, origins.finder.answer)
+    )
 
 
 class HttpStreamPeers:
@@ -49,12 +48,16 @@
     def __init__(
         self, client: PeerClient, witness_candidates: Callable[[], list[str]]
     ):
-        self._client = client
+        self._channel = PeerChannel(
+            client,
+            defaults.STREAM_PEER_TIMEOUT_S,
+            lambda error: StreamPeerError(str(error)),
+        )
         self._witness_candidates = witness_candidates
 
     def names(self) -> list[str]:
         """See StreamPeers."""
-        return self._client.names()
+        return self._channel.names()
 
     def witness_candidates(self) -> list[str]:
         """See StreamPeers."""
@@ -64,28 +67,12 @@
         self, router: str, notice: OriginNotice
     ) -> NoticeAnswer:
         """See StreamPeers."""
-        return await self._send(router, NOTICE_PATH, notice, NoticeAnswer)
+        return await self._channel.send(
+            router, NOTICE_PATH, notice, NoticeAnswer
+        )
 
     async def query_origin(
         self, router: str, query: OriginQuery
     ) -> OriginAnswer:
         """See StreamPeers."""
-        return await self._send(router, QUERY_PATH, query, OriginAnswer)
-
-    async def _send(
-        self,
-        router: str,
-        path: bytes,
-        message: object,
-        answer_type: type[AnswerT],
-    ) -> AnswerT:
-        try:
-            return await self._client.send(
-                router,
-                path,
-                message,
-                answer_type,
-                defaults.STREAM_PEER_TIMEOUT_S,
-            )
-        except PeerError as error:
-            raise StreamPeerError(str(error)) from error
+        return await self._channel.send(router, QUERY_PATH, query, OriginAnswer)
--- a/tests/streams/simulation.py
+++ b/tests/streams/simulation.py
@@ -12,15 +12,14 @@
     TargetEntry,
     TargetRegistry,
 )
-from chicorystack.streams.finder import OriginFinder, ResumedStream
+from chicorystack.streams.finder import ResumedStream
 from chicorystack.streams.messages import (
     OriginRecord,
     StreamOrigin,
     StreamPeerError,
 )
-from chicorystack.streams.origins import OriginTable
-from chicorystack.streams.replicator import OriginReplicator
-from chicorystack.streams.versions import RegistryReads, VersionHistory
+from chicorystack.streams.stream_origins import StreamOrigins
+from chicorystack.streams.versions import RegistryReads
 from chicorystack.web.exchange import Address
 from tests.support.router_network import Network, NetworkPeers
 
@@ -68,10 +67,9 @@
         self.registry = TargetRegistry(
             clock, lambda: StoreStatus(clock.seconds(), 0.0)
         )
-        table = OriginTable(clock)
-        history = VersionHistory(clock, self.registry, lambda: self.reads)
-        self.finder = OriginFinder(clock, table, peers, history)
-        self.replicator = OriginReplicator(clock, table, peers, history)
+        origins = StreamOrigins(clock, self.registry, lambda: self.reads, peers)
+        self.finder = origins.finder
+        self.replicator = origins.replicator
         self.read_store(fleet.dice.uniform(0.0, defaults.TARGETS_READ_PAUSE_S))
 
     def read_store(self, pause_s=defaults.TARGETS_READ_PAUSE_S):
