Send origins of streams again that no router took; tell two at the same time

A batch that met a silent or killed router was told to the next, one after the other, and was lost if none took it; each further batch was tried at the silent one and logged. Now the two copies are sent at once, a silent router is left out for 2 s and logged once, and a batch without a copy is kept.

--- a/chicorystack/defaults.py
+++ b/chicorystack/defaults.py
@@ -445,7 +445,7 @@
 STREAM_ORIGIN_MAX_TRIES = 5
 # Time in which copies are sent, also while several versions serve.
 STREAM_NOTICE_S = 0.5
-STREAM_NOTICE_URGENT_S = 0.03
+STREAM_NOTICE_URGENT_S = 0.01
 STREAM_PEER_TIMEOUT_S = 0.2
 STREAM_PEER_SILENT_S = 2.0
 # Age of a stream, as a multiple of its route's timeout, at most.
--- a/chicorystack/streams/replicator.py
+++ b/chicorystack/streams/replicator.py
@@ -69,32 +69,51 @@
             sending.addErrback(_log_failure)
 
     async def _send(self, notice: OriginNotice) -> None:
-        """Sends a batch until enough routers have it, or none is left."""
+        """Sends a batch until enough routers have it, or none is left.
+
+        A batch that no router has is sent again later.
+        """
         copies = 0
-        for router in self._answering():
-            if copies == defaults.STREAM_ORIGIN_COPIES:
-                return
-            try:
-                await self._peers.tell_origins(router, notice)
-                copies += 1
-            except StreamPeerError as error:
-                self._silent_until[router] = (
-                    self._clock.seconds() + defaults.STREAM_PEER_SILENT_S
-                )
+        untold = self._answering()
+        while untold and copies < defaults.STREAM_ORIGIN_COPIES:
+            lacking = defaults.STREAM_ORIGIN_COPIES - copies
+            routers, untold = untold[:lacking], untold[lacking:]
+            results = await defer.gatherResults(
+                [
+                    defer.ensureDeferred(self._tell(router, notice))
+                    for router in routers
+                ]
+            )
+            copies += sum(results)
+        if not copies:
+            self._unsent = [*notice.records, *self._unsent]
+            del self._unsent[: -defaults.MAX_STREAM_ORIGINS]
+            self._schedule(defaults.STREAM_NOTICE_S)
+
+    async def _tell(self, router: str, notice: OriginNotice) -> bool:
+        """Sends a batch to one router; returns whether that has it."""
+        try:
+            await self._peers.tell_origins(router, notice)
+        except StreamPeerError as error:
+            now = self._clock.seconds()
+            if self._silent_until.get(router, 0.0) < now:
                 emit(
                     "streams", "not_told", router=router, reason=str(error),
                     records=len(notice.records),
                 )  # fmt: skip
+            silent_until = now + defaults.STREAM_PEER_SILENT_S
+            self._silent_until[router] = silent_until
+            return False
+        return True
 
     def _answering(self) -> list[str]:
-        """Returns the routers to tell; those that were silent come last."""
+        """Returns the routers to tell, without those that were silent."""
         now = self._clock.seconds()
-        candidates = self._peers.witness_candidates()
-        ordered = sorted(
-            candidates,
-            key=lambda router: self._silent_until.get(router, 0.0) > now,
-        )
-        return ordered[: defaults.STREAM_ORIGIN_MAX_TRIES]
+        return [
+            router
+            for router in self._peers.witness_candidates()
+            if self._silent_until.get(router, 0.0) <= now
+        ][: defaults.STREAM_ORIGIN_MAX_TRIES]
 
 
 def _log_failure(failure) -> None:
