--- a/bench/platform_fleet.py
+++ b/bench/platform_fleet.py
@@ -135,6 +135,7 @@
             "engine",
             str(port),
             name,
+            version,
         )
         wait_until(
             f"{name} answers",
--- a/chicorystack/platform/standin/engine.py
+++ b/chicorystack/platform/standin/engine.py
@@ -93,8 +93,16 @@
 
     isLeaf = True
 
-    def __init__(self, reactor, engine_id: str):
+    def __init__(self, reactor, engine_id: str, version: str = ""):
+        """Starts without faults.
+
+        Args:
+            reactor: The reactor.
+            engine_id: ID of the engine.
+            version: Version of its software, which its events contain.
+        """
         super().__init__()
+        self._version = version
         self._reactor = reactor
         self._engine_id = engine_id
         self._faults = EngineFaults()
@@ -222,7 +230,8 @@
                 request.write(f"id: {number}\nda".encode())
                 request.transport.loseConnection()
                 return
-            request.write(f"id: {number}\ndata: token {number}\n\n".encode())
+            data = f"token {number} {self._version}".rstrip()
+            request.write(f"id: {number}\ndata: {data}\n\n".encode())
             self._counts.tokens += TOKENS_PER_EVENT
         request.finish()
 
