--- a/chicorystack/gateway/call_run.py
+++ b/chicorystack/gateway/call_run.py
@@ -104,10 +104,11 @@
         )
 
     async def _attempt_all(self) -> AttemptResult | Refusal:
+        result: AttemptResult | None = None
         while True:
             target = self._pool.choose(self._call, self._tried)
             if target is None:
-                return self._no_target_refusal()
+                return result or self._no_target_refusal()
             admitted = await self._pool.admit(target)
             if self._writer.disconnected:
                 return _disconnected_result()
--- a/tests/gateway/test_call_run.py
+++ b/tests/gateway/test_call_run.py
@@ -14,6 +14,7 @@
 from tests.gateway.test_targets import entry
 
 NO_RETRIES = RetryBounds(ratio=0.0, window_s=10.0, slack=0.0)
+SOME_RETRIES = RetryBounds(ratio=0.0, window_s=10.0, slack=10.0)
 GOOD_HEAD = ResponseHead(
     200, [], "a", signed=True, not_run=False, is_stream=False, encoded=False,
     closes_connection=False, load=None,
@@ -26,15 +27,18 @@
     def encode_request(self, _call, _target, _left_s, _last_event):
         return HttpRequest(b"GET", b"/", [])
 
-    def decode_head(self, _status, _headers):
-        return GOOD_HEAD
+    def decode_head(self, status, _headers):
+        return GOOD_HEAD._replace(status=status)
 
 
 class FakeConnection:
     """A connection that responds immediately."""
 
+    def __init__(self, status):
+        self._status = status
+
     def send_request(self, _request, receiver):
-        receiver.head_received(200, [])
+        receiver.head_received(self._status, [])
         receiver.data_received(b"done")
         receiver.exchange_ended(None)
 
@@ -48,7 +52,8 @@
 class FakePool:
     """Targets in a fixed order, some of them unreachable."""
 
-    def __init__(self, clock, targets, unreachable, denying=()):
+    def __init__(self, clock, targets, unreachable, denying=(), status=200):
+        self._status = status
         self._targets = targets
         self._denying = set(denying)
         self._unreachable = set(unreachable)
@@ -70,7 +75,7 @@
         self.attempted.append(target.id)
         if target.id in self._unreachable:
             raise ExchangeError("refused", sent=False)
-        return FakeConnection()
+        return FakeConnection(self._status)
 
     def pause_left_s(self, _service):
         return None
@@ -124,11 +129,11 @@
         self.refusal = refusal
 
 
-def make_call(kind):
+def make_call(kind, max_attempts=1):
     route = Route(
         "r", "h", "/", kind, (), timeout_s=5.0, objective_s=0.2,
-        gap_objective_s=0.0, max_attempts=1, priority=None, public=True,
-        resumable=False, uses_prompts=False,
+        gap_objective_s=0.0, max_attempts=max_attempts, priority=None,
+        public=True, resumable=False, uses_prompts=False,
     )  # fmt: skip
     request = CallerRequest(
         "a", b"GET", b"/", "h", "/", [], b"", None, 5.0, None, (), "", 0.0
@@ -136,18 +141,27 @@
     return Call(request, route, "s", "", None, 5.0, 1, "content")
 
 
-def run_call(kind, targets, unreachable=0, denying=0):
-    """Runs a call; returns its writer and the IDs of attempted targets."""
+def run_call(kind, targets, unreachable=0, denying=(), status=200):
+    """Runs a call; returns its writer and the IDs of attempted targets.
+
+    Args:
+        kind: Kind of the call's route.
+        targets: Number of targets.
+        unreachable: How many of them, from the first on, are unreachable.
+        denying: Positions of targets that have no permit.
+        status: Status of the targets' responses.
+    """
     clock = Clock()
     entries = [entry(f"t-{number}") for number in range(targets)]
     unreachable_ids = [target.id for target in entries[:unreachable]]
-    denying_ids = [target.id for target in entries[:denying]]
-    pool = FakePool(clock, entries, unreachable_ids, denying_ids)
+    denying_ids = [entries[position].id for position in denying]
+    pool = FakePool(clock, entries, unreachable_ids, denying_ids, status)
     writer = FakeWriter()
-    retries = RetryBudget(clock, NO_RETRIES, lambda: 1)
+    bounds = NO_RETRIES if status == 200 else SOME_RETRIES
+    retries = RetryBudget(clock, bounds, lambda: 1)
     runner = CallRunner(
         clock,
-        make_call(kind),
+        make_call(kind, 1 if status == 200 else 2),
         writer,
         FakeCodec(),
         pool,
@@ -176,14 +190,23 @@
 
 @pytest.mark.parametrize("kind", list(CallKind))
 def test_targets_without_a_permit_are_skipped_without_using_retry_budget(kind):
-    writer, attempted = run_call(kind, targets=4, denying=3)
+    writer, attempted = run_call(kind, targets=4, denying=[0, 1, 2])
     assert writer.body == b"done"
     assert attempted == ["t-3"]
 
 
 @pytest.mark.parametrize("kind", list(CallKind))
 def test_call_is_refused_at_once_if_no_target_has_a_permit(kind):
-    writer, attempted = run_call(kind, targets=4, denying=4)
+    writer, attempted = run_call(kind, targets=4, denying=range(4))
     assert attempted == []
     assert (writer.refusal.status, writer.refusal.code) == (503, "no_target")
     assert writer.refusal.retry_after_s > 0
+
+
+def test_failure_of_a_target_is_forwarded_if_no_other_has_a_permit():
+    writer, attempted = run_call(
+        CallKind.IDEMPOTENT, targets=2, denying=[1], status=500
+    )
+    assert attempted == ["t-0"]
+    assert writer.refusal is None
+    assert writer.body == b"done"
