Let a router's timers and deadlines ignore steps of the time of day

Cause: Twisted's reactors count with the time of day, while the design rests on time that goes on evenly. After a step ahead all deadlines of calls, grants and leases had passed; after a step back timers came late by as much. Found while checking what leases of rate limits rest on.

Change: the platform's router sets its reactor to the monotonic clock before the first timer. Nothing that leaves the process was taken from the reactor's time.

The own interface's programs still count with the time of day; not looked at.

--- a/chicorystack/lifecycle.py
+++ b/chicorystack/lifecycle.py
@@ -1,6 +1,7 @@
 """Runs a process of the fleet until a signal stops it."""
 
 import signal
+import time
 from collections.abc import Awaitable, Callable
 
 from twisted.internet import defer
@@ -10,6 +11,15 @@
 log = part_logger("lifecycle")
 
 
+def use_monotonic_time(reactor) -> None:
+    """Lets all timers and deadlines of a process ignore the time of day.
+
+    Twisted's reactors use the time of day, so a step of it delays all timers
+    or ends all deadlines at once. Call this before the first timer is set.
+    """
+    reactor.seconds = time.monotonic
+
+
 def run_until_stopped(reactor, drain: Callable[[], Awaitable[None]]) -> None:
     """Runs the reactor; SIGTERM drains, SIGINT stops immediately.
 
--- a/chicorystack/platform/router.py
+++ b/chicorystack/platform/router.py
@@ -9,7 +9,7 @@
 
 from chicorystack.errors import UserError
 from chicorystack.gateway.process import GatewayProcess, PlatformAdapter
-from chicorystack.lifecycle import run_until_stopped
+from chicorystack.lifecycle import run_until_stopped, use_monotonic_time
 from chicorystack.observe.events import emit, event_log, start_events
 from chicorystack.platform import operator_config, target_entries
 from chicorystack.platform.headers import (
@@ -50,6 +50,7 @@
 
 def run(path: Path) -> None:
     """Runs a router until it is signalled to stop."""
+    use_monotonic_time(reactor)
     settings = load_settings(path)
     start_events(reactor, settings.gateway.name)
     send_logs_to_events()
