Read the registry at once when a stream is taken up that no router knows

Callers of the older kind do not name the request that began their stream, so its version is inferred after a fresh read of the registry, and waited up to 0.4 s for the next one. The follower's pause is cut short instead; tests/store/test_follower.py.

--- a/chicorystack/defaults.py
+++ b/chicorystack/defaults.py
@@ -453,7 +453,7 @@
 # Age up to which what was read of the registry of targets is current, and how
 # often a caller that waits for a read checks for it.
 REGISTRY_FRESH_S = 1.0
-REGISTRY_FRESH_CHECK_S = 0.05
+REGISTRY_FRESH_CHECK_S = 0.01
 
 # Requests that crash targets.
 # Time after a broken connection in which the target must be found down to
--- a/chicorystack/gateway/process.py
+++ b/chicorystack/gateway/process.py
@@ -149,6 +149,7 @@
             reactor,
             self._registry,
             self._registry_reads,
+            self._targets_follower.read_soon,
             HttpStreamPeers(peers, router_peers.witness_candidates),
         )
         self._retries = RetryBudget(
--- a/chicorystack/store/follower.py
+++ b/chicorystack/store/follower.py
@@ -89,6 +89,8 @@
         self._end: int | None = None
         self._failures = 0
         self._stopped = False
+        self._pause: defer.Deferred | None = None
+        self._read_soon = False
         self.loaded = False
         self.loaded_at: float | None = None
         self.read_began_at = 0.0
@@ -104,11 +106,27 @@
         """Stops after the read in flight."""
         self._stopped = True
 
+    def read_soon(self) -> None:
+        """Skips the pause before the next read, or the one in progress."""
+        self._read_soon = True
+        if self._pause is not None:
+            self._pause.cancel()
+
     async def _run(self) -> None:
         while not self._stopped:
+            self._read_soon = False
             pause_s = await self._poll()
-            if pause_s:
-                await task.deferLater(self._clock, pause_s)
+            if pause_s and not self._read_soon:
+                await self._wait(pause_s)
+
+    async def _wait(self, pause_s: float) -> None:
+        self._pause = task.deferLater(self._clock, pause_s)
+        try:
+            await self._pause
+        except defer.CancelledError:
+            return
+        finally:
+            self._pause = None
 
     async def _poll(self) -> float:
         """Reads once; returns the pause before the next read, in seconds."""
--- a/chicorystack/streams/finder.py
+++ b/chicorystack/streams/finder.py
@@ -162,6 +162,7 @@
         """
         if self._history.read_began_at() < at - defaults.REGISTRY_FRESH_S:
             return False
+        self._history.read_soon()
         give_up_at = at + defaults.REGISTRY_FRESH_S
         while self._history.read_began_at() < at:
             if self._clock.seconds() >= give_up_at:
--- a/chicorystack/streams/stream_origins.py
+++ b/chicorystack/streams/stream_origins.py
@@ -23,6 +23,7 @@
         clock,
         registry: TargetRegistry,
         reads: Callable[[], RegistryReads],
+        read_soon: Callable[[], None],
         peers: StreamPeers,
     ):
         """Starts without origins.
@@ -31,9 +32,10 @@
             clock: The reactor.
             registry: The targets, with their versions.
             reads: Returns when the registry was read.
+            read_soon: Lets it be read again at once.
             peers: The other routers.
         """
         table = OriginTable(clock)
-        history = VersionHistory(clock, registry, reads)
+        history = VersionHistory(clock, registry, reads, read_soon)
         self.finder = OriginFinder(clock, table, peers, history)
         self.replicator = OriginReplicator(clock, table, peers, history)
--- a/chicorystack/streams/versions.py
+++ b/chicorystack/streams/versions.py
@@ -25,17 +25,31 @@
 
 
 class VersionHistory:
-    """Versions by service, with those that have gone."""
+    """Versions by service, with those that have gone.
+
+    Attributes:
+        read_soon: Lets the registry be read again at once.
+    """
 
     def __init__(
         self,
         clock,
         registry: TargetRegistry,
         reads: Callable[[], RegistryReads],
+        read_soon: Callable[[], None],
     ):
+        """Starts without versions.
+
+        Args:
+            clock: The reactor.
+            registry: The targets, with their versions.
+            reads: Returns when the registry was read.
+            read_soon: Lets it be read again at once.
+        """
         self._clock = clock
         self._registry = registry
         self._reads = reads
+        self.read_soon = read_soon
         self._gone_at_by_origin: dict[StreamOrigin, float] = {}
         registry.on_removed(self._record_gone)
 
--- a/tests/store/test_follower.py
+++ b/tests/store/test_follower.py
@@ -91,3 +91,33 @@
     fixture.put(("a", b"2"))
     fixture.run(2.0)
     assert fixture.value_by_key == {"a": b"2"}
+
+
+def test_read_soon_skips_the_pause():
+    fixture = FollowerFixture([("a", b"1")])
+    fixture.run(0.1)
+    asked_at = fixture.clock.seconds()
+    fixture.put(("a", b"2"))
+    fixture.follower.read_soon()
+    fixture.run(0.02)
+    assert fixture.value_by_key == {"a": b"2"}
+    assert fixture.follower.read_began_at >= asked_at
+
+
+def test_read_soon_during_a_read_is_followed_by_another():
+    fixture = FollowerFixture([("a", b"1")])
+    fixture.clock.advance(0.001)
+    asked_at = fixture.clock.seconds()
+    fixture.follower.read_soon()
+    fixture.run(0.03)
+    assert fixture.follower.read_began_at >= asked_at
+
+
+def test_pauses_go_on_after_read_soon():
+    fixture = FollowerFixture([("a", b"1")])
+    fixture.run(0.1)
+    fixture.follower.read_soon()
+    fixture.run(0.05)
+    calls = fixture.log.calls
+    fixture.run(1.0)
+    assert fixture.log.calls - calls <= 6
--- a/tests/streams/simulation.py
+++ b/tests/streams/simulation.py
@@ -26,6 +26,7 @@
 SERVICE = "llm"
 STEP_S = 0.01
 TIMEOUT_S = 15.0
+READ_S = 0.005
 FAULTS = ("cut", "dark", "store", "heal", "kill", "start", "release", "remove")
 
 
@@ -67,7 +68,13 @@
         self.registry = TargetRegistry(
             clock, lambda: StoreStatus(clock.seconds(), 0.0)
         )
-        origins = StreamOrigins(clock, self.registry, lambda: self.reads, peers)
+        origins = StreamOrigins(
+            clock,
+            self.registry,
+            lambda: self.reads,
+            lambda: clock.callLater(READ_S, self.read_store, pause_s=None),
+            peers,
+        )
         self.finder = origins.finder
         self.replicator = origins.replicator
         self.read_store(fleet.dice.uniform(0.0, defaults.TARGETS_READ_PAUSE_S))
@@ -83,7 +90,8 @@
             self.reads = RegistryReads(
                 began_at if first_at is None else first_at, began_at
             )
-        self.fleet.clock.callLater(pause_s, self.read_store)
+        if pause_s is not None:
+            self.fleet.clock.callLater(pause_s, self.read_store)
 
 
 class Fleet:
