Leave no call waiting for a permit after an unexpected exception

An exception other than RatePeerError in a request for permits left its calls, and all later ones for the same target, waiting until their callers gave up. Found in review; the test failed before (a call without a result).

--- a/chicorystack/rate_limits/limiter.py
+++ b/chicorystack/rate_limits/limiter.py
@@ -141,12 +141,18 @@
 
     async def _serve_queue(self, incarnation: Incarnation) -> None:
         queues = self._queue_by_incarnation
-        while queues[incarnation]:
-            calls, queues[incarnation] = queues[incarnation], []
-            granted = await self._request(incarnation, len(calls))
-            for position, call in enumerate(calls):
-                call.callback(position < granted)
-        del queues[incarnation]
+        calls: list[defer.Deferred[bool]] = []
+        try:
+            while queues[incarnation]:
+                calls, queues[incarnation] = queues[incarnation], []
+                granted = await self._request(incarnation, len(calls))
+                for position, call in enumerate(calls):
+                    call.callback(position < granted)
+        finally:
+            # After an unexpected exception no call may be left waiting.
+            for call in (*calls, *queues.pop(incarnation)):
+                if not call.called:
+                    call.callback(False)
 
     async def _request(self, incarnation: Incarnation, count: int) -> int:
         """Asks the coordinator; returns the number of permits granted."""
--- a/tests/rate_limits/test_limiter.py
+++ b/tests/rate_limits/test_limiter.py
@@ -1,9 +1,10 @@
 """Tests that simulated routers together keep to a target's rate limit."""
 
 import pytest
+from twisted.internet import defer
 
 from chicorystack import defaults
-from tests.rate_limits.simulation import GRACE_S, Fleet
+from tests.rate_limits.simulation import GRACE_S, TARGET, Fleet
 
 # Fraction of the limit that is used, if there are calls enough.
 NEARLY = 0.8
@@ -210,3 +211,22 @@
 
     fleet.run(8.0)
     assert fleet.excess(named_at + GRACE_S, excused) <= 0
+
+
+def test_no_call_is_left_waiting_after_an_unexpected_exception(monkeypatch):
+    fleet = limited_fleet(2, 1.0, 20.0)
+    fleet.run(3.0)
+    asker = next(
+        limiter
+        for limiter in fleet.network.router_by_name.values()
+        if limiter._coordination.coordinator() is not None
+    )
+
+    async def break_down(_router, _request):
+        raise ValueError("unexpected")
+
+    fleet.set_demand(0.0)
+    fleet.run(3.0)
+    monkeypatch.setattr(asker._peers, "request_permits", break_down)
+    calls = [defer.ensureDeferred(asker.acquire(TARGET)) for _ in range(3)]
+    assert [call.result for call in calls] == [False] * 3
