--- a/chicorystack/router/repeatable_attempts.py
+++ b/chicorystack/router/repeatable_attempts.py
@@ -12,7 +12,8 @@
 from chicorystack.router.attempts import Attempt
 from chicorystack.router.forwarder import DeliveredResponse, NotDeliveredError
 from chicorystack.router.progress import AttemptTimeouts, DeliveryProgress
-from chicorystack.routing.call_queue import CallQueues, PendingCall
+from chicorystack.routing.call_queue import CallQueues
+from chicorystack.routing.pending_call import PendingCall
 from chicorystack.routing.retry_budget import RetryBounds, RetryBudget
 from chicorystack.routing.targets import TargetState, TargetTable
 from chicorystack.routing.timings import OperationId, Timings
--- a/chicorystack/routing/call_queue.py
+++ b/chicorystack/routing/call_queue.py
@@ -15,55 +15,16 @@
 from twisted.internet.interfaces import IDelayedCall, IReactorTime
 
 from chicorystack import defaults
-from chicorystack.config.model import Priority, Service
+from chicorystack.config.model import Service
 from chicorystack.errors import ApiError
 from chicorystack.observe.invariants import require
 from chicorystack.routing.health import HealthTable
+from chicorystack.routing.pending_call import RETRY_RANK, PendingCall
 from chicorystack.routing.pickers import Picker
 from chicorystack.routing.shares import max_min_fair_share
+from chicorystack.routing.target_choice import TargetChoice
 from chicorystack.routing.targets import TargetState, TargetTable
-from chicorystack.routing.timings import OperationId, Timings
-
-RANK_BY_PRIORITY: dict[Priority, int] = {"high": 0, "normal": 1, "low": 2}
-# A call that was assigned a target before goes first.
-RETRY_RANK = -1
-
-
-class PendingCall(NamedTuple):
-    """A call that needs a target.
-
-    Attributes:
-        service: Service to call.
-        operation: Operation to call.
-        customer: Customer who pays.
-        priority: The operation's priority.
-        tried: Targets on which the call has failed.
-        deadline: Time on the clock when its caller gives up.
-        requeued: Whether a target refused it because it was full or draining.
-    """
-
-    service: Service
-    operation: str
-    customer: str
-    priority: Priority
-    tried: frozenset[str]
-    deadline: float
-    requeued: bool = False
-
-    @property
-    def is_retry(self) -> bool:
-        """Whether the call was assigned a target before."""
-        return self.requeued or bool(self.tried)
-
-    @property
-    def rank(self) -> int:
-        """Number of its priority, or RETRY_RANK; lower ranks go first."""
-        return RETRY_RANK if self.is_retry else RANK_BY_PRIORITY[self.priority]
-
-    @property
-    def operation_id(self) -> OperationId:
-        """The names of the service and the operation."""
-        return OperationId(self.service.name, self.operation)
+from chicorystack.routing.timings import Timings
 
 
 class _Waiter(NamedTuple):
@@ -99,15 +60,12 @@
         timings: Timings,
     ):
         self._clock = clock
-        self._targets = targets
-        self._picker = picker
-        self._health = health
+        self._choice = TargetChoice(clock, targets, picker, health)
         self._timings = timings
         self._sequence_numbers = count()
         self._waiters_by_customer: dict[str, list[_Waiter]] = {}
         self._served_by_customer: dict[str, float] = {}
         self._in_flight_by_customer: Counter[str] = Counter()
-        self._next_probe_at = 0.0
         self._dispatch_timer: IDelayedCall | None = None
         # Moving average of each rank's fraction of the assigned calls.
         self._fraction_by_rank: dict[int, float] = {}
@@ -120,14 +78,14 @@
             ApiError: `no_target`, or `overloaded` if no target has capacity in
                 time or is expected to have it.
         """
-        if not self._candidates(call):
+        if not self._choice.candidates(call):
             raise ApiError(
                 "no_target",
                 f"no target of {call.service.name} can take the call",
                 retry_after_ms=defaults.RETRY_AFTER_MS,
             )
         if not self.waiting or call.is_retry:
-            target = self._pick_target(call)
+            target = self._choice.pick(call)
             if target is not None:
                 self._update_rank_mix(call)
                 return target
@@ -155,66 +113,6 @@
         if not self._in_flight_by_customer[customer]:
             del self._in_flight_by_customer[customer]
 
-    def _candidates(self, call: PendingCall) -> list[TargetState]:
-        """Returns the targets to choose from; ejected ones if all are ejected.
-
-        Targets outside the data centres where the call failed are preferred.
-        """
-        usable = self._targets.usable_targets(call.service, call.tried)
-        healthy = [
-            t for t in usable if self._health.admits(t.name, t.in_flight)
-        ]
-        return (
-            self._outside_failed_data_centres(call, healthy)
-            or healthy
-            or usable
-        )
-
-    def _outside_failed_data_centres(
-        self, call: PendingCall, targets: list[TargetState]
-    ) -> list[TargetState]:
-        """Returns targets outside the data centres where the call failed."""
-        failed = {
-            self._targets.target_by_name[name].data_centre
-            for name in call.tried
-            if name in self._targets.target_by_name
-        }
-        return [t for t in targets if t.data_centre not in failed]
-
-    def _pick_target(self, call: PendingCall) -> TargetState | None:
-        candidates = self._candidates(call)
-        with_capacity = [target for target in candidates if target.has_capacity]
-        return self._picker.pick(with_capacity) or self._pick_outdated_target(
-            candidates
-        )
-
-    def _pick_outdated_target(
-        self, candidates: list[TargetState]
-    ) -> TargetState | None:
-        """Returns a target that only an outdated load report shows as full.
-
-        If it still is full, its agent refuses the call immediately.
-        """
-        now = self._clock.seconds()
-        if now < self._next_probe_at:
-            return None
-        oldest = min(
-            (
-                target
-                for target in candidates
-                if target.in_flight < target.limit
-            ),
-            key=lambda target: target.reported_at,
-            default=None,
-        )
-        if (
-            oldest is None
-            or oldest.reported_at + defaults.PROBE_MIN_REPORT_AGE_S > now
-        ):
-            return None
-        self._next_probe_at = now + defaults.PROBE_INTERVAL_S
-        return oldest
-
     async def _wait_for_target(
         self, call: PendingCall, expires_at: float
     ) -> TargetState:
@@ -285,7 +183,7 @@
     def _dispatch_next(self) -> bool:
         """Assigns a target to the first waiting call that can have one."""
         for waiter in self._heads_in_order():
-            target = self._pick_target(waiter.call)
+            target = self._choice.pick(waiter.call)
             if target is None:
                 continue
             self._update_rank_mix(waiter.call)
--- a/tests/routing/test_call_queue.py
+++ b/tests/routing/test_call_queue.py
@@ -18,8 +18,9 @@
 from chicorystack.config.model import FleetConfig, Service, Site, Target
 from chicorystack.errors import ApiError
 from chicorystack.infrastructure.messages import Vm
-from chicorystack.routing.call_queue import CallQueue, PendingCall
+from chicorystack.routing.call_queue import CallQueue
 from chicorystack.routing.health import HealthTable
+from chicorystack.routing.pending_call import PendingCall
 from chicorystack.routing.pickers import SampledLeastLoaded
 from chicorystack.routing.shares import max_min_fair_share
 from chicorystack.routing.targets import TargetTable
