--- a/chicorystack/rate_limits/coordination.py
+++ b/chicorystack/rate_limits/coordination.py
@@ -7,6 +7,7 @@
 
 from collections import Counter
 from collections.abc import Callable, Iterable
+from typing import NamedTuple
 
 from twisted.internet import defer
 
@@ -27,6 +28,30 @@
 RANKING_KEY = "rate-limits"
 
 
+class _Ranking(NamedTuple):
+    """The common order of routers.
+
+    Attributes:
+        others: The other routers that it was made for.
+        ranked: All routers, the first choice for coordinator first.
+    """
+
+    others: list[str]
+    ranked: list[str]
+
+
+class _State(NamedTuple):
+    """What the log says of this router's part.
+
+    Attributes:
+        coordinator: The router that coordinates; None if it is this one.
+        held: Number of shares that this router may use.
+    """
+
+    coordinator: str | None
+    held: int
+
+
 class Coordination:
     """One router's part in choosing a coordinator and in collecting shares."""
 
@@ -45,7 +70,7 @@
         self._limits = limits
         self._shares = shares
         self._router_count = router_count
-        self._ranked: tuple[list[str], list[str]] = ([], [own.router])
+        self._ranking = _Ranking([], [own.router])
         self._failures: Counter[str] = Counter()
         self._suspended_until: dict[str, float] = {}
         # Clock times of the last request for the own share, by coordinator,
@@ -56,7 +81,7 @@
         self._running = False
         self._spread_at = 0.0
         self._spreading = False
-        self._logged: tuple[str | None, int] = (None, 0)
+        self._logged = _State(None, 0)
 
     def interval_s(self) -> float:
         """Returns the time between two renewals of leases, in seconds."""
@@ -72,7 +97,7 @@
     def coordinator(self) -> str | None:
         """Returns the router that coordinates; None if it is this one."""
         now = self._clock.seconds()
-        for router in self._ranking():
+        for router in self._ranked_routers():
             if router == self._own.router:
                 return None
             if self._suspended_until.get(router, 0.0) <= now:
@@ -119,12 +144,13 @@
         self._wake()
         return ShareAnswer(leased, self._limits.known())
 
-    def _ranking(self) -> list[str]:
-        names = self._peers.names()
-        if names != self._ranked[0]:
-            ranked = rendezvous_order(RANKING_KEY, [self._own.router, *names])
-            self._ranked = (list(names), ranked)
-        return self._ranked[1]
+    def _ranked_routers(self) -> list[str]:
+        """Returns all routers in the common order, sorted when they change."""
+        others = self._peers.names()
+        if others != self._ranking.others:
+            ranked = rendezvous_order(RANKING_KEY, [self._own.router, *others])
+            self._ranking = _Ranking(list(others), ranked)
+        return self._ranking.ranked
 
     def _mark_reached(self, router: str) -> None:
         self._failures.pop(router, None)
@@ -223,12 +249,12 @@
         self.merge(answer.statements)
 
     def _log_changes(self) -> None:
-        state = (self.coordinator(), self._shares.held())
+        state = _State(self.coordinator(), self._shares.held())
         if state != self._logged:
             self._logged = state
             emit(
-                "rate_limits", "shares", coordinator=state[0], held=state[1],
-                routers=self._router_count(),
+                "rate_limits", "shares", coordinator=state.coordinator,
+                held=state.held, routers=self._router_count(),
             )  # fmt: skip
 
     def _start(self, work) -> defer.Deferred:
--- a/chicorystack/rate_limits/shares.py
+++ b/chicorystack/rate_limits/shares.py
@@ -68,5 +68,7 @@
             for router, until in self._held_until_by_router.items()
             if until > now
         }
-        owns = now >= max(self.own_usable_at, self._leased_until)
-        return owns + len(self._held_until_by_router)
+        shares = len(self._held_until_by_router)
+        if now >= max(self.own_usable_at, self._leased_until):
+            shares += 1
+        return shares
--- a/chicorystack/streams/finder.py
+++ b/chicorystack/streams/finder.py
@@ -48,6 +48,31 @@
     began_within_s: float
 
 
+class _Answers:
+    """Collects routers' answers.
+
+    Attributes:
+        received: The answers so far.
+        enough: Fires once one router knows the origin, or none is left.
+    """
+
+    def __init__(self, expected: int):
+        self._left = expected
+        self.received: list[OriginAnswer] = []
+        self.enough: defer.Deferred[None] = defer.Deferred()
+        if not expected:
+            self.enough.callback(None)
+
+    def add(self, answer: OriginAnswer | None) -> None:
+        """Adds an answer; None for a router that sent none."""
+        self._left -= 1
+        if answer is not None:
+            self.received.append(answer)
+        is_known = answer is not None and answer.record is not None
+        if (is_known or not self._left) and not self.enough.called:
+            self.enough.callback(None)
+
+
 class OriginFinder:
     """Finds origins, and answers other routers that look for them."""
 
@@ -102,29 +127,14 @@
         query = OriginQuery(
             stream.request_id, stream.services[0], stream.began_within_s
         )
-        answers: list[OriginAnswer] = []
-        done = defer.Deferred()
-        asking = [
-            defer.ensureDeferred(self._ask(router, query))
-            for router in self._peers.names()
-        ]
-        left = len(asking)
-
-        def collect(answer: OriginAnswer | None) -> None:
-            nonlocal left
-            left -= 1
-            if answer is not None:
-                answers.append(answer)
-            known = answer is not None and answer.record is not None
-            if (known or not left) and not done.called:
-                done.callback(None)
-
-        for answering in asking:
-            answering.addErrback(_log_failure)
-            answering.addCallback(collect)
-        if asking:
-            await done
-        return list(answers)
+        routers = self._peers.names()
+        answers = _Answers(len(routers))
+        for router in routers:
+            asking = defer.ensureDeferred(self._ask(router, query))
+            asking.addErrback(_log_failure)
+            asking.addCallback(answers.add)
+        await answers.enough
+        return list(answers.received)
 
     async def _ask(
         self, router: str, query: OriginQuery
