--- a/chicorystack/gateway/call_run.py
+++ b/chicorystack/gateway/call_run.py
@@ -22,6 +22,7 @@
 from chicorystack.streams.messages import OriginRecord
 from chicorystack.web.exchange import ExchangeError
 
+DEADLINE_PASSED = "the deadline has passed"
 # Outcomes of attempts that certainly did not run the call.
 NOT_RUN_OUTCOMES = frozenset(
     {AttemptOutcome.UNREACHABLE, AttemptOutcome.NOT_RUN}
@@ -263,7 +264,7 @@
 
     def _on_deadline(self) -> None:
         if self._attempt is not None:
-            self._attempt.stop(*_expired_result()[:2])
+            self._attempt.stop(AttemptOutcome.EXPIRED, DEADLINE_PASSED)
 
     def _on_disconnect(self) -> None:
         if self._attempt is not None:
@@ -339,7 +340,7 @@
 
 
 def _expired_result() -> AttemptResult:
-    return AttemptResult(AttemptOutcome.EXPIRED, "the deadline has passed")
+    return AttemptResult(AttemptOutcome.EXPIRED, DEADLINE_PASSED)
 
 
 def _disconnected_result() -> AttemptResult:
