Tell silent routers of streams if no other is left

A process that had been suspended took all others for silent for 2 s, as its requests had timed out meanwhile, and kept its records to itself.

--- a/chicorystack/streams/replicator.py
+++ b/chicorystack/streams/replicator.py
@@ -73,47 +73,54 @@
 
         A batch that no router has is sent again later.
         """
+        candidates = self._peers.witness_candidates()
+        silent = [router for router in candidates if self._is_silent(router)]
+        answering = [router for router in candidates if router not in silent]
+        copies = await self._tell_some(answering, notice)
+        if not copies:
+            # If this process was suspended, all others look silent.
+            copies = await self._tell_some(silent, notice)
+        if not copies:
+            self._unsent = [*notice.records, *self._unsent]
+            del self._unsent[: -defaults.MAX_STREAM_ORIGINS]
+            self._schedule(defaults.STREAM_NOTICE_S)
+
+    async def _tell_some(self, routers: list[str], notice: OriginNotice) -> int:
+        """Sends a batch to routers in turn; returns how many have it."""
         copies = 0
-        untold = self._answering()
+        untold = routers[: defaults.STREAM_ORIGIN_MAX_TRIES]
         while untold and copies < defaults.STREAM_ORIGIN_COPIES:
             lacking = defaults.STREAM_ORIGIN_COPIES - copies
-            routers, untold = untold[:lacking], untold[lacking:]
             results = await defer.gatherResults(
                 [
                     defer.ensureDeferred(self._tell(router, notice))
-                    for router in routers
+                    for router in untold[:lacking]
                 ]
             )
             copies += sum(results)
-        if not copies:
-            self._unsent = [*notice.records, *self._unsent]
-            del self._unsent[: -defaults.MAX_STREAM_ORIGINS]
-            self._schedule(defaults.STREAM_NOTICE_S)
+            untold = untold[lacking:]
+        return copies
 
     async def _tell(self, router: str, notice: OriginNotice) -> bool:
         """Sends a batch to one router; returns whether that has it."""
         try:
             await self._peers.tell_origins(router, notice)
         except StreamPeerError as error:
-            now = self._clock.seconds()
-            if self._silent_until.get(router, 0.0) < now:
+            if not self._is_silent(router):
                 emit(
                     "streams", "not_told", router=router, reason=str(error),
                     records=len(notice.records),
                 )  # fmt: skip
-            silent_until = now + defaults.STREAM_PEER_SILENT_S
-            self._silent_until[router] = silent_until
+            self._silent_until[router] = (
+                self._clock.seconds() + defaults.STREAM_PEER_SILENT_S
+            )
             return False
+        self._silent_until.pop(router, None)
         return True
 
-    def _answering(self) -> list[str]:
-        """Returns the routers to tell, without those that were silent."""
-        now = self._clock.seconds()
-        return [
-            router
-            for router in self._peers.witness_candidates()
-            if self._silent_until.get(router, 0.0) <= now
-        ][: defaults.STREAM_ORIGIN_MAX_TRIES]
+    def _is_silent(self, router: str) -> bool:
+        """Returns whether a router did not answer lately."""
+        return self._silent_until.get(router, 0.0) > self._clock.seconds()
 
 
 def _log_failure(failure) -> None:
--- a/tests/streams/test_replicator.py
+++ b/tests/streams/test_replicator.py
@@ -52,3 +52,13 @@
     fleet.begin("router-0")
     fleet.run(0.1, begins_per_s=0.0)
     assert fleet.network.messages == messages + 1
+
+
+def test_routers_that_all_look_silent_are_told_nevertheless(fleet):
+    fleet.network.dark.add("router-0")
+    fleet.begin("router-0")
+    fleet.run(0.3, begins_per_s=0.0)
+    fleet.network.heal()
+    fleet.begin("router-0")
+    fleet.run(0.1, begins_per_s=0.0)
+    assert known_at(fleet, fleet.begun[1]) == ["router-1", "router-2"]
