Let routers that start together know of each other at once

Cause, from the routers' output: the directory is read at the start and each 5 s, so the first of several routers that start together knows of nobody for 5 s (`counted` with no others). It has no router to tell where its streams begin, counts itself alone for limits and retries, and finds no witness and no lender. Not load: the order of starts.

The end-to-end test waits until the routers know each other, as its subject is a router that dies later.

--- a/chicorystack/defaults.py
+++ b/chicorystack/defaults.py
@@ -486,6 +486,9 @@
 CONFIG_READ_WAIT_S = 1.0
 TARGETS_READ_PAUSE_S = 0.4
 ROUTERS_READ_PAUSE_S = 5.0
+# Times after the start at which the directory of routers is read besides, as
+# several often start together.
+ROUTERS_EARLY_READS_S = (0.2, 0.5, 1.0, 2.0, 3.0, 4.0)
 # Minimum number of routers assumed until the directory has been read.
 DEFAULT_ROUTER_COUNT = 8
 # A draining router accepts connections for this long, until the load balancer
--- a/chicorystack/gateway/peers.py
+++ b/chicorystack/gateway/peers.py
@@ -86,9 +86,15 @@
     def start(self) -> None:
         """Registers this router, then starts following the others."""
         registering = defer.ensureDeferred(self._register())
-        registering.addCallback(lambda _: self._follower.start())
+        registering.addCallback(lambda _: self._start_following())
         registering.addErrback(_log_failure)
 
+    def _start_following(self) -> None:
+        """Follows the others; reads often at first, as they may start too."""
+        self._follower.start()
+        for delay_s in defaults.ROUTERS_EARLY_READS_S:
+            self._clock.callLater(delay_s, self._follower.read_soon)
+
     def count(self) -> int:
         """Returns the number of routers, including this one.
 
--- a/tests/platform/test_stream_versions.py
+++ b/tests/platform/test_stream_versions.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from bench.fleet import LOOPBACK
+from bench.fleet import LOOPBACK, wait_until
 from bench.platform_fleet import (
     KEY,
     STREAM_HOST,
@@ -45,9 +45,23 @@
         config["Tenants"] = [{"Name": "alpha", "ApiKeys": [KEY]}]
         fleet.publish(config)
         fleet.wait_until_ready()
+        wait_until(
+            "the routers know each other", lambda: know_each_other(fleet)
+        )
         yield fleet
 
 
+def know_each_other(fleet):
+    counted = [
+        [e for e in fleet.read_events(router) if e["event"] == "counted"]
+        for router in ROUTERS
+    ]
+    return all(
+        events and len(events[-1]["others"]) == len(ROUTERS) - 1
+        for events in counted
+    )
+
+
 class Stream:
     """A stream through one router, of which some events are read."""
 
