--- a/review/lib/rig.py
+++ b/review/lib/rig.py
@@ -1,8 +1,8 @@
-"""Parts of the review's scripts: routers, stand-ins, clients and a proxy.
+"""Parts of the review's scripts: routers, stand-ins and clients.
 
-The routers and the store run as separate processes. Engines, clients and the
-proxy run in the script itself, on one asyncio loop, and use only the standard
-library. All addresses are loopback addresses.
+The routers and the store run as separate processes. Engines and clients run in
+the script itself, on one asyncio loop, and use only the standard library. All
+addresses are loopback addresses.
 """
 
 import asyncio
@@ -112,10 +112,6 @@
                 env=environment | variables,
             )
 
-    def log(self, name: str) -> str:
-        """Returns what a process has written."""
-        return (self.folder / f"{name}.log").read_text(errors="replace")
-
     def signal(self, name: str, number: int) -> None:
         """Sends a signal to a process that was started here."""
         self._by_name[name].send_signal(number)
@@ -125,10 +121,6 @@
         self.signal(name, signal.SIGKILL)
         await self._by_name[name].wait()
 
-    def is_running(self, name: str) -> bool:
-        """Returns whether a process has not ended."""
-        return self._by_name[name].returncode is None
-
     async def stop(self) -> None:
         """Kills all processes and removes the folder."""
         for process in self._by_name.values():
@@ -343,7 +335,7 @@
         return await self.register()
 
     def stop(self) -> None:
-        """Ends it."""
+        """Ends it; its connections are reset."""
         if self._beat is not None:
             self._beat.cancel()
         if self._server is not None:
@@ -382,7 +374,6 @@
             "at": time.monotonic(),
             "head": head,
             "ended": "",
-            "prompt": not head.get("last-event-id"),
             "events": 0,
         }
         self.runs.append(run)
@@ -568,78 +559,6 @@
         self._reader = self._writer = None
 
 
-class Proxy:
-    """A proxy in front of a port that silences, delays or resets.
-
-    Attributes:
-        delay_s: Delay of all bytes, in seconds.
-        refuse: Whether new connections are reset.
-    """
-
-    def __init__(self, target_port: int):
-        self._target_port = target_port
-        self.port = free_ports()
-        self.delay_s = 0.0
-        self.refuse = False
-        self.accepted = 0
-        self._silent: set[int] = set()
-        self._open: dict[int, tuple] = {}
-        self._server = None
-
-    async def start(self) -> None:
-        """Listens."""
-        self._server = await asyncio.start_server(
-            self._serve, LOOPBACK, self.port
-        )
-
-    def silence_open(self) -> int:
-        """Lets all open connections go silent for good; new ones work."""
-        self._silent |= set(self._open)
-        return len(self._open)
-
-    def reset_open(self) -> None:
-        """Resets all open connections."""
-        for writers in list(self._open.values()):
-            for writer in writers:
-                writer.transport.abort()
-
-    async def _serve(self, reader, writer) -> None:
-        if self.refuse:
-            writer.transport.abort()
-            return
-        self.accepted += 1
-        number = self.accepted
-        try:
-            target = await asyncio.open_connection(LOOPBACK, self._target_port)
-        except OSError:
-            writer.transport.abort()
-            return
-        self._open[number] = (writer, target[1])
-        await asyncio.gather(
-            self._copy(number, reader, target[1]),
-            self._copy(number, target[0], writer),
-        )
-        self._open.pop(number, None)
-
-    async def _copy(self, number: int, reader, writer) -> None:
-        with contextlib.suppress(OSError):
-            while data := await reader.read(65_536):
-                if number in self._silent:
-                    continue
-                if self.delay_s:
-                    await asyncio.sleep(self.delay_s)
-                writer.write(data)
-                await writer.drain()
-        if number not in self._silent:
-            writer.close()
-
-    def stop(self) -> None:
-        """Closes it."""
-        if self._server is not None:
-            self._server.close()
-        self.reset_open()
-
-
 def route(name: str, service: str, kind: str, **fields) -> dict:
     """Returns a route of the configuration."""
     return {
@@ -677,12 +596,14 @@
     record(f"trouble: {trouble}")
 
     async def run() -> int:
+        loop, task = asyncio.get_running_loop(), asyncio.current_task()
+        loop.add_signal_handler(signal.SIGTERM, task.cancel)
         processes = Processes()
         try:
             return await asyncio.wait_for(
                 case(processes, record, trouble), 110.0
             )
-        except (CaseError, TimeoutError) as error:
+        except (CaseError, TimeoutError, asyncio.CancelledError) as error:
             record(f"could not run: {error!r}")
             return NOT_RUN
         finally:
