End requests before a stopped router is killed

Cause: nothing told a request that its router stops. A caller that goes on at once on a kept connection, whose last head was sent before the SIGTERM, is never seen idle by the check each 50 ms; its next request was passed on whatever its deadline.

Change: gateway/drain.py. Once the port is closed, connections close as their responses end, and a request that still comes is refused (503, not run) unless its deadline lies before the end of the stop. At that end all calls end: refused if they have not run, 502 if at work without a response; they were closed without an answer.

--- a/chicorystack/gateway/attempt.py
+++ b/chicorystack/gateway/attempt.py
@@ -33,7 +33,7 @@
     TARGET_FAILED that the target returned another response with a status other
     than 2xx; BROKEN that the response was incomplete, invalid or stalled;
     DIVERTED that nothing was sent, as the target's data centre has been
-    evacuated since the target was chosen.
+    evacuated since the target was chosen; STOPPED that the router stops.
     """
 
     DELIVERED = "delivered"
@@ -44,6 +44,7 @@
     EXPIRED = "expired"
     CALLER_LEFT = "caller_left"
     DIVERTED = "diverted"
+    STOPPED = "stopped"
 
 
 class AttemptResult(NamedTuple):
@@ -175,6 +176,11 @@
         """Whether the caller has been sent an event of this attempt."""
         return self._progress.stream.events > self._events_before
 
+    @property
+    def sent(self) -> bool:
+        """Whether the request has been sent to the target."""
+        return self._connection is not None
+
     def run(self, connection: HttpConnection, request: HttpRequest) -> None:
         """Sends the request over the connection."""
         self._connection = connection
--- a/chicorystack/gateway/call_run.py
+++ b/chicorystack/gateway/call_run.py
@@ -24,6 +24,7 @@
 from chicorystack.web.exchange import ExchangeError
 
 DEADLINE_PASSED = "the deadline has passed"
+ROUTER_STOPS = "the router stops"
 # Outcomes of attempts that certainly did not run the call.
 NOT_RUN_OUTCOMES = frozenset(
     {AttemptOutcome.UNREACHABLE, AttemptOutcome.NOT_RUN}
@@ -67,6 +68,7 @@
         self._on_stream_begun = on_stream_begun
         self._queues = queues
         self._turn: Turn | None = None
+        self._stopped = False
         self._recorder = CallRecorder(clock, call)
         self._progress = ResponseProgress(writer, call.request.last_event_id)
         self._attempt: Attempt | None = None
@@ -93,6 +95,17 @@
             self._end_turn()
         self._respond(result)
 
+    def stop(self) -> None:
+        """Ends the call as the router stops."""
+        self._stopped = True
+        self._leave_queue()
+        if self._attempt is None:
+            return
+        outcome = AttemptOutcome.NOT_RUN
+        if self._attempt.sent:
+            outcome = AttemptOutcome.STOPPED
+        self._attempt.stop(outcome, ROUTER_STOPS)
+
     def tokens_used(self, tokens_per_event: int) -> int:
         """Returns the number of tokens to charge the customer.
 
@@ -114,7 +127,7 @@
     async def _attempt_all(self) -> AttemptResult | Refusal:
         result: AttemptResult | None = None
         while True:
-            ended = await self._take_turn()
+            ended = self._end_without_attempt() or await self._take_turn()
             if ended is not None:
                 return ended
             target = self._pool.choose(self._call, self._tried)
@@ -149,6 +162,8 @@
         """Returns the result of a call that needs no further attempt."""
         if self._writer.disconnected:
             return _disconnected_result()
+        if self._stopped:
+            return _unsent_result()
         if self._clock.seconds() >= self._call.deadline:
             return _expired_result()
         return None
@@ -294,10 +309,12 @@
             AttemptOutcome.DELIVERED,
             AttemptOutcome.EXPIRED,
             AttemptOutcome.CALLER_LEFT,
+            AttemptOutcome.STOPPED,
         ):
             return False
         if (
             self._writer.disconnected
+            or self._stopped
             or self._runs >= self._call.route.max_attempts
         ):
             return False
@@ -384,6 +401,8 @@
             return Refusal(
                 504, "deadline_exceeded", "no response before the deadline"
             )
+        if result.outcome is AttemptOutcome.STOPPED:
+            return Refusal(502, "stopping", result.reason)
         if result.outcome in NOT_RUN_OUTCOMES:
             return Refusal(
                 503,
@@ -416,5 +435,9 @@
     return AttemptResult(AttemptOutcome.EXPIRED, DEADLINE_PASSED)
 
 
+def _unsent_result() -> AttemptResult:
+    return AttemptResult(AttemptOutcome.NOT_RUN, ROUTER_STOPS)
+
+
 def _disconnected_result() -> AttemptResult:
     return AttemptResult(AttemptOutcome.CALLER_LEFT, "the caller disconnected")
--- a/chicorystack/gateway/caller_channel.py
+++ b/chicorystack/gateway/caller_channel.py
@@ -19,7 +19,7 @@
 from chicorystack.buffers.budget import BufferBudget
 from chicorystack.observe.events import emit
 from chicorystack.observe.exposition import callers_disconnected_total
-from chicorystack.web.channel import BoundedSite, TrackedChannel
+from chicorystack.web.channel import BoundedChannel, TrackedChannel
 
 PAUSED_TRANSPORT_BYTES = (
     defaults.CALLER_TRANSPORT_BYTES + defaults.HELD_BLOCK_BYTES
@@ -36,6 +36,18 @@
         """Discards the held bytes as the caller is disconnected."""
 
 
+class AcceptingSite(Protocol):
+    """A site that stops accepting connections when its router stops.
+
+    Attributes:
+        accepting: Whether it accepts new connections.
+        open_channels: Connections that are open.
+    """
+
+    accepting: bool
+    open_channels: set[BoundedChannel]
+
+
 class CallerChannel(TrackedChannel):
     """A caller's connection.
 
@@ -46,8 +58,9 @@
 
     requests: list[HoldingRequest]
 
-    def __init__(self, site: BoundedSite, budget: BufferBudget):
+    def __init__(self, site: AcceptingSite, budget: BufferBudget):
         super().__init__(site)
+        self._site = site
         self._budget = budget
         self._disconnected = False
         self._early_bytes = 0
@@ -66,7 +79,14 @@
         super().rawDataReceived(data)
 
     def requestDone(self, request: HoldingRequest) -> None:
-        """Goes on with the next request."""
+        """Goes on with the next request, or closes while the router stops.
+
+        A further request that has been read is served or refused.
+        """
+        if not self._site.accepting and not self._early_bytes:
+            # With the response's last bytes the caller learns that it must go
+            # elsewhere. It was not told before if the response began earlier.
+            self.persistent = False
         self.release(self._early_bytes)
         self._early_bytes = 0
         super().requestDone(request)
--- a/chicorystack/gateway/caller_http.py
+++ b/chicorystack/gateway/caller_http.py
@@ -296,7 +296,9 @@
         link: Meters the requests and responses.
         budget: Bytes held for callers.
         max_body_bytes: Most bytes of a request body.
-        closing: Whether connections close after the current response.
+        closing: Whether responses tell callers that connections close.
+        accepting: Whether new connections are accepted. Once they are not, a
+            connection closes when its response has ended.
     """
 
     def __init__(
@@ -319,6 +321,7 @@
         self.budget = BufferBudget(*NO_BUFFERING)
         held_bytes.set_function(lambda: self.budget.held_bytes)
         self.max_body_bytes = CallerLimits().max_body_bytes
+        self.accepting = True
 
     def protocol(self) -> CallerChannel:
         """Returns the channel of a new connection."""
--- a/chicorystack/gateway/dispatcher.py
+++ b/chicorystack/gateway/dispatcher.py
@@ -1,5 +1,6 @@
 """Serves a caller's request: admits it, reserves its tokens and runs it."""
 
+import math
 import random
 from collections.abc import Callable
 
@@ -58,8 +59,27 @@
         # Most urgent priority of a version of the configuration.
         self._urgency_version = 0
         self._most_urgent: int | None = None
+        self._runners: set[CallRunner] = set()
+        # Clock time by which calls must end as the router stops, in seconds;
+        # infinity before, and whether that time has come.
+        self._end_at = math.inf
+        self._ended = False
         self.open_requests = 0
 
+    def refuse_if_unfinished_by(self, end_at: float) -> None:
+        """Refuses calls from now on whose deadline is later than a time.
+
+        Args:
+            end_at: Clock time in seconds.
+        """
+        self._end_at = end_at
+
+    def end_calls(self) -> None:
+        """Ends all calls: those that have not run are refused."""
+        self._ended = True
+        for runner in list(self._runners):
+            runner.stop()
+
     def serve(self, request: CallerRequest, writer: ResponseWriter) -> None:
         """Serves one request and writes its response."""
         self.open_requests += 1
@@ -81,6 +101,7 @@
     ) -> None:
         try:
             call = self._admission.admit(request)
+            self._check_stop(call)
             self._check_strikes(call)
             self._check_locations(call)
             self._retries.record_call(call.service)
@@ -101,14 +122,29 @@
             self._queues,
         )
         spent = 0
+        self._runners.add(runner)
+        if self._ended:
+            runner.stop()
         try:
             await runner.run()
             spent = runner.tokens_used(self._tokens_per_event(call))
         finally:
+            self._runners.discard(runner)
             if reservation is not None:
                 self._grants.settle(reservation, spent)
         runner.record_outcome(spent)
 
+    def _check_stop(self, call: Call) -> None:
+        """Checks that the call will end before the router stops.
+
+        Raises:
+            RefusedError: If it may not.
+        """
+        if call.deadline > self._end_at:
+            message = "this router stops; others are ready"
+            retry_s = random.uniform(*defaults.NOT_RUN_RETRY_RANGE_S)
+            raise refuse(503, "stopping", message, retry_s)
+
     def _check_strikes(self, call: Call) -> None:
         """Checks that the call is not known to crash targets.
 
--- a/chicorystack/gateway/process.py
+++ b/chicorystack/gateway/process.py
@@ -4,7 +4,6 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from twisted.internet import defer, task
 from twisted.web import resource
 
 from chicorystack import defaults
@@ -25,6 +24,7 @@
 )
 from chicorystack.gateway.crashes import CrashDetector, StrikeReplicator
 from chicorystack.gateway.dispatcher import Dispatcher
+from chicorystack.gateway.drain import Drain
 from chicorystack.gateway.evacuation_http import (
     HttpEvacuationPeers,
     add_evacuation_resource,
@@ -128,7 +128,6 @@
         self._settings = settings
         self._adapter = adapter
         self._config = GatewayConfig()
-        self._draining = False
         self._config_follower = Follower(
             reactor,
             log,
@@ -224,6 +223,12 @@
             HttpDataCentrePeers(peers, settings.data_centre),
             self._update_site,
         )
+        self._drain = Drain(
+            reactor,
+            self._site,
+            self._dispatcher,
+            self._return_tokens_and_deregister,
+        )
         self._port = None
 
     def _create_grants(
@@ -327,44 +332,14 @@
 
     async def drain(self) -> None:
         """Finishes requests in progress, then stops the reactor."""
-        if self._draining:
+        if self._drain.started:
             return
-        self._draining = True
+        self._drain.started = True
         self._update_site()
-        started_at = self._reactor.seconds()
-        emit("gateway", "draining", open=self._dispatcher.open_requests)
-        await task.deferLater(self._reactor, defaults.DRAIN_MIN_S)
-        # From here new callers are refused a connection and can go to another
-        # router at once, rather than being cut off later.
-        self._port.stopListening()
-        kill_at = started_at + self._settings.grace_period_s
-        await self._wait_until_idle(kill_at - defaults.DRAIN_RESERVE_S)
-        releasing = defer.ensureDeferred(self._return_tokens_and_deregister())
-        releasing.addTimeout(defaults.GRANT_RELEASE_TIMEOUT_S, self._reactor)
-        try:
-            await releasing
-        except defer.TimeoutError:
-            emit("gateway", "not_handed_back")
-        await self._site.close_connections(self._reactor)
-        emit("gateway", "stopped", open=self._dispatcher.open_requests)
+        kill_at = self._reactor.seconds() + self._settings.grace_period_s
+        await self._drain.run(self._port, kill_at)
         self._reactor.stop()
 
-    async def _wait_until_idle(self, drain_until: float) -> None:
-        """Waits until no requests or connections are left.
-
-        Idle connections are closed meanwhile.
-
-        Args:
-            drain_until: Clock time at which to stop waiting, in seconds.
-        """
-        while self._dispatcher.open_requests or self._site.open_channels:
-            self._site.close_idle_connections()
-            if self._reactor.seconds() >= drain_until:
-                return
-            await task.deferLater(
-                self._reactor, defaults.DRAIN_CHECK_INTERVAL_S
-            )
-
     async def _return_tokens_and_deregister(self) -> None:
         await self._grants.give_back()
         await self._routers.deregister()
@@ -374,7 +349,7 @@
             bool(self._config.version)
             and self._registry.loaded
             and (self._evacuations.ready or not self._settings.evacuates)
-            and not self._draining
+            and not self._drain.started
             and not self._overload.out_of_rotation
         )
 
@@ -383,7 +358,9 @@
 
     def _update_site(self) -> None:
         """Closes callers' connections while they should move elsewhere."""
-        self._site.closing = self._draining or self._overload.out_of_rotation
+        self._site.closing = (
+            self._drain.started or self._overload.out_of_rotation
+        )
 
     def _peer_resources(self) -> resource.Resource:
         root, api = resource.Resource(), resource.Resource()
