Follow targets past an entry that is nested too deeply

Cause: msgspec raises RecursionError for deep nesting, also in fields that it skips; decode_entry expects DecodeError, ValueError and KeyError.

The same class without JSON: a key that is not UTF-8, a record without a whole key and a value that is not base64 made a read fail at that record for good. A reply that ends within a record is an error, no longer a shorter record.

--- a/chicorystack/agent/call_resource.py
+++ b/chicorystack/agent/call_resource.py
@@ -19,6 +19,7 @@
 )
 from chicorystack.config.model import Service
 from chicorystack.config.store import ConfigStore
+from chicorystack.decoding import JsonDecoder
 from chicorystack.errors import ApiError
 from chicorystack.observe.decisions import decisions
 from chicorystack.observe.metrics import metrics
@@ -31,7 +32,7 @@
     run_handler,
 )
 
-call_decoder = msgspec.json.Decoder(CallHeader)
+call_decoder = JsonDecoder(CallHeader)
 
 
 class CallResource(resource.Resource):
--- a/chicorystack/agent/target_client.py
+++ b/chicorystack/agent/target_client.py
@@ -11,6 +11,7 @@
     EngineRequest,
     EngineUsage,
 )
+from chicorystack.decoding import decode_json
 from chicorystack.errors import ChicoryError
 from chicorystack.web.client import BytesProducer
 
@@ -75,7 +76,7 @@
             return
         try:
             last = self._buffer.strip().removeprefix(DATA_PREFIX)
-            usage = msgspec.json.decode(last, type=EngineUsage)
+            usage = decode_json(last, EngineUsage)
         except msgspec.DecodeError:
             if self._buffer.endswith(EVENT_END):
                 self._forward_events(self._buffer)
--- a/chicorystack/budget/grants/partition.py
+++ b/chicorystack/budget/grants/partition.py
@@ -384,7 +384,10 @@
             partition=self._partition.number,
             end=self.ledger.end,
             prepaid=self._prepaid_by_customer(),
-            records={r.key: r.value.decode() for r in records},
+            records={
+                record.key: record.value.decode(errors="backslashreplace")
+                for record in records
+            },
         )
 
 
--- a/chicorystack/budget/grants/records.py
+++ b/chicorystack/budget/grants/records.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from chicorystack import defaults
+from chicorystack.decoding import JsonDecoder
 from chicorystack.observe.events import emit
 from chicorystack.store.keyed_log import KeyedRecord
 
@@ -128,7 +129,7 @@
     lost_spent: NotRequired[int]
 
 
-_decoder = msgspec.json.Decoder(GrantRecord)
+_decoder = JsonDecoder(GrantRecord)
 
 
 def record_key(customer: str, router: str) -> str:
--- a/chicorystack/budget/keeper/closures.py
+++ b/chicorystack/budget/keeper/closures.py
@@ -8,9 +8,8 @@
 
 from typing import Literal, NamedTuple, TypedDict
 
-import msgspec
-
 from chicorystack.budget.keeper.messages import RecordHeader, Usage
+from chicorystack.decoding import decode_json
 from chicorystack.infrastructure.messages import LogEntry
 from chicorystack.util import new_id
 
@@ -164,8 +163,8 @@
             self.complete_from = entry["offset"]
         self._next_offset = entry["offset"] + 1
         raw = entry["record"]
-        kind = msgspec.json.decode(raw, type=RecordHeader)["kind"]
-        record = msgspec.json.decode(raw, type=RECORD_TYPE_BY_KIND[kind])
+        kind = decode_json(raw, RecordHeader)["kind"]
+        record = decode_json(raw, RECORD_TYPE_BY_KIND[kind])
         self._apply_by_kind[kind](record, entry["offset"])
 
     def close_epochs(self, shard: int, epoch: int) -> None:
--- a/chicorystack/budget/keeper/messages.py
+++ b/chicorystack/budget/keeper/messages.py
@@ -7,7 +7,7 @@
 
 from typing import Literal, NamedTuple, NotRequired, TypedDict
 
-import msgspec
+from chicorystack.decoding import decode_json
 
 
 def shard_stream(shard: int) -> str:
@@ -172,8 +172,8 @@
 
 def decode_record(raw: str) -> ShardRecord:
     """Decodes a record of a shard's stream by its kind."""
-    kind = msgspec.json.decode(raw, type=RecordHeader)["kind"]
-    return msgspec.json.decode(raw, type=RECORD_TYPE_BY_KIND[kind])
+    kind = decode_json(raw, RecordHeader)["kind"]
+    return decode_json(raw, RECORD_TYPE_BY_KIND[kind])
 
 
 class Exchange(TypedDict):
--- a/chicorystack/budget/keeper/snapshot.py
+++ b/chicorystack/budget/keeper/snapshot.py
@@ -15,6 +15,7 @@
 from chicorystack import defaults
 from chicorystack.budget.keeper.ledger import LedgerState, ShardLedger
 from chicorystack.budget.keeper.messages import RecordHeader
+from chicorystack.decoding import decode_json
 from chicorystack.infrastructure.messages import LogEntry
 from chicorystack.observe.logs import part_logger
 from chicorystack.util import new_id
@@ -108,7 +109,7 @@
         self.next_offset = entry["offset"] + 1
         self.time = entry["time"]
         self.base_time = self.base_time or self.time
-        kind = msgspec.json.decode(entry["record"], type=RecordHeader)["kind"]
+        kind = decode_json(entry["record"], RecordHeader)["kind"]
         if kind == SNAPSHOT_KIND:
             self._add_part(entry)
         elif self.has_base:
@@ -129,7 +130,7 @@
         self._partial_snapshot_by_id = {}
 
     def _add_part(self, entry: LogEntry) -> None:
-        record = msgspec.json.decode(entry["record"], type=LedgerSnapshot)
+        record = decode_json(entry["record"], LedgerSnapshot)
         partial = self._partial_snapshot_by_id.setdefault(
             record["id"],
             _PartialSnapshot(record["parts"], record["read_to"], {}),
@@ -149,7 +150,7 @@
         text = "".join(
             partial.text_by_part[part] for part in range(partial.part_count)
         )
-        self.ledger.load(msgspec.json.decode(text, type=LedgerState))
+        self.ledger.load(decode_json(text, LedgerState))
         self.has_base = True
         pending, self._pending_entries = self._pending_entries, []
         for entry in pending:
--- a/chicorystack/calls/run_records.py
+++ b/chicorystack/calls/run_records.py
@@ -3,10 +3,9 @@
 import contextlib
 from typing import Literal, NamedTuple, NotRequired, TypedDict
 
-import msgspec
-
 from chicorystack import defaults
 from chicorystack.calls.run_table import CachedAnswer, Run, RunState
+from chicorystack.decoding import JsonDecoder
 from chicorystack.infrastructure.messages import LogEntry
 
 
@@ -67,11 +66,11 @@
     kind: str
 
 
-kind_decoder = msgspec.json.Decoder(_Kind)
+kind_decoder = JsonDecoder(_Kind)
 decoder_by_kind = {
-    "owner_claimed": msgspec.json.Decoder(OwnerRecord),
-    "owner_released": msgspec.json.Decoder(OwnerRecord),
-    "runs_noted": msgspec.json.Decoder(RunUpdatesRecord),
+    "owner_claimed": JsonDecoder(OwnerRecord),
+    "owner_released": JsonDecoder(OwnerRecord),
+    "runs_noted": JsonDecoder(RunUpdatesRecord),
 }
 
 
--- a/chicorystack/config/messages.py
+++ b/chicorystack/config/messages.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from chicorystack.config.model import ConfigSpec
+from chicorystack.decoding import decode_json
 
 CONFIG_STREAM = "config"
 
@@ -73,10 +74,10 @@
     Raises:
         msgspec.DecodeError: If it is not a valid record of the stream.
     """
-    kind = msgspec.json.decode(raw, type=_RecordHeader)["kind"]
+    kind = decode_json(raw, _RecordHeader)["kind"]
     if kind not in RECORD_TYPE_BY_KIND:
         raise msgspec.ValidationError(f"unknown kind '{kind}'")
-    return msgspec.json.decode(raw, type=RECORD_TYPE_BY_KIND[kind])
+    return decode_json(raw, RECORD_TYPE_BY_KIND[kind])
 
 
 class ConfigQuery(TypedDict):
--- a/chicorystack/ctl/audit.py
+++ b/chicorystack/ctl/audit.py
@@ -4,8 +4,6 @@
 from collections.abc import Iterable, Iterator
 from typing import NamedTuple, TypedDict
 
-import msgspec
-
 from chicorystack.budget.keeper.messages import (
     CustomerCreated,
     KeeperClaimed,
@@ -17,6 +15,7 @@
 from chicorystack.config.messages import CONFIG_STREAM, ConfigRecord
 from chicorystack.ctl.session import Session
 from chicorystack.ctl.tables import format_time
+from chicorystack.decoding import decode_json
 from chicorystack.infrastructure.messages import LogEntry
 
 EXPIRED = "unknown, as earlier records have expired"
@@ -90,7 +89,7 @@
         log_state.apply(entry)
         if _record_kind(entry) != "config_published":
             continue
-        record = msgspec.json.decode(entry["record"], type=ConfigRecord)
+        record = decode_json(entry["record"], ConfigRecord)
         if record["id"] in publication_ids:
             continue
         publication_ids.add(record["id"])
@@ -127,7 +126,7 @@
 
     def describe_customer_created(self, entry: LogEntry) -> Change:
         """Describes a new customer, or a new secret key of an existing one."""
-        record = msgspec.json.decode(entry["record"], type=CustomerCreated)
+        record = decode_json(entry["record"], CustomerCreated)
         exists = record["customer"] in self._customers
         self._customers.add(record["customer"])
         return _build_change(
@@ -141,7 +140,7 @@
 
     def describe_topped_up(self, entry: LogEntry) -> Change:
         """Describes a top-up; a repeated one changes nothing."""
-        record = msgspec.json.decode(entry["record"], type=ToppedUp)
+        record = decode_json(entry["record"], ToppedUp)
         budget = f"{record['customer']}/{record['budget']}"
         old = self._tokens_by_budget.get(budget, 0)
         repeated = record["id"] in self._top_up_ids
@@ -159,7 +158,7 @@
 
     def describe_keeper_claimed(self, entry: LogEntry) -> Change:
         """Describes a router's claim of the shard."""
-        record = msgspec.json.decode(entry["record"], type=KeeperClaimed)
+        record = decode_json(entry["record"], KeeperClaimed)
         old = f"{self._keeper} epoch {self._epoch}"
         accepted = record["epoch"] == self._epoch + 1 or not self._epoch
         if accepted:
@@ -204,7 +203,7 @@
 
 
 def _record_kind(entry: LogEntry) -> str:
-    return msgspec.json.decode(entry["record"], type=RecordHeader)["kind"]
+    return decode_json(entry["record"], RecordHeader)["kind"]
 
 
 def _build_change(
--- a/chicorystack/gateway/crashes.py
+++ b/chicorystack/gateway/crashes.py
@@ -15,6 +15,7 @@
 from twisted.internet import defer, task
 
 from chicorystack import defaults
+from chicorystack.decoding import JsonDecoder
 from chicorystack.gateway.targets import TargetEntry
 from chicorystack.observe.events import emit
 from chicorystack.quarantine.blame import blamed_key
@@ -28,7 +29,7 @@
 )
 from chicorystack.util import backoff_delay
 
-_decoder = msgspec.json.Decoder(list[StrikeMessage])
+_decoder = JsonDecoder(list[StrikeMessage])
 
 
 class _InterruptedRun(NamedTuple):
--- a/chicorystack/gateway/peer_http.py
+++ b/chicorystack/gateway/peer_http.py
@@ -10,6 +10,7 @@
 from twisted.web import http, resource, server
 
 from chicorystack import defaults
+from chicorystack.decoding import JsonDecoder, decode_json
 from chicorystack.errors import ChicoryError
 from chicorystack.gateway.peers import PeerRouter
 from chicorystack.observe.events import emit
@@ -54,7 +55,7 @@
             handler: Returns the answer, or an awaitable of it.
         """
         super().__init__()
-        self._decoder = msgspec.json.Decoder(message_type)
+        self._decoder = JsonDecoder(message_type)
         self._handler = handler
 
     def render_POST(self, request: server.Request) -> bytes | int:
@@ -134,7 +135,7 @@
         pool = self._connection_pool(peer.address)
         try:
             response = await fetch(self._reactor, pool, request, limits)
-            return msgspec.json.decode(response.body, type=response_type)
+            return decode_json(response.body, response_type)
         except ExchangeError as error:
             refused = isinstance(error.__cause__, ConnectionRefusedError)
             raise PeerError(
--- a/chicorystack/platform/operator_config.py
+++ b/chicorystack/platform/operator_config.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from chicorystack.decoding import JsonDecoder
 from chicorystack.evacuation.messages import EvacuationStatement
 from chicorystack.gateway.model import (
     CallerLimits,
@@ -141,7 +142,7 @@
     Tenants: list[_Tenant] = []
 
 
-_decoder = msgspec.json.Decoder(_Config)
+_decoder = JsonDecoder(_Config)
 
 
 def find_newest_config(records: Iterable[KeyedRecord]) -> GatewayConfig | None:
--- a/chicorystack/platform/settings.py
+++ b/chicorystack/platform/settings.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from chicorystack.decoding import decode_json
 from chicorystack.errors import UserError
 from chicorystack.gateway.settings import GatewaySettings
 from chicorystack.platform.store import StoreSettings
@@ -144,7 +145,7 @@
 def decode_settings(data: bytes) -> PlatformSettings:
     """Decodes a settings file; raises SettingsError."""
     try:
-        fields = msgspec.json.decode(data, type=_SettingsFile)
+        fields = decode_json(data, _SettingsFile)
         return _build_settings(fields)
     except (msgspec.DecodeError, ValueError) as error:
         raise SettingsError(f"invalid settings: {error}") from error
--- a/chicorystack/platform/standin/engine.py
+++ b/chicorystack/platform/standin/engine.py
@@ -12,6 +12,8 @@
 from twisted.web import resource, server
 from zope.interface import implementer
 
+from chicorystack.decoding import decode_json
+
 TOKENS_PER_EVENT = 4
 EVENT_INTERVAL_S = 0.01
 PLAIN_DURATION_S = 0.02
@@ -136,7 +138,7 @@
         """Handles a request."""
         if request.path == b"/standin/faults":
             body = request.content.read()
-            self._faults = msgspec.json.decode(body, type=EngineFaults)
+            self._faults = decode_json(body, EngineFaults)
             self._cold_until = self._reactor.seconds() + self._faults.cold_s
             return b"{}"
         if request.path == b"/standin/counts":
--- a/chicorystack/platform/standin/store.py
+++ b/chicorystack/platform/standin/store.py
@@ -8,6 +8,7 @@
 from twisted.internet import defer, task
 from twisted.web import resource, server
 
+from chicorystack.decoding import decode_json
 from chicorystack.platform.store import READ_HEADER, RECORD_LENGTH
 
 FaultKind = Literal["none", "refuse", "silent", "lost"]
@@ -143,16 +144,16 @@
         name = request.path.decode().rpartition("/")[2]
         body = request.content.read()
         if name == "faults":
-            self._state.faults = msgspec.json.decode(body, type=StoreFaults)
+            self._state.faults = decode_json(body, StoreFaults)
             return b"{}"
         if name == "restore":
-            restore = msgspec.json.decode(body, type=RestoreRequest)
+            restore = decode_json(body, RestoreRequest)
             self._state.restore(
                 self._reactor.seconds() - restore.age_s, restore.drop_requests
             )
             return b"{}"
         if name == "put":
-            put = msgspec.json.decode(body, type=PutRequest)
+            put = decode_json(body, PutRequest)
             records = self._state.records_by_partition[put.topic, 0]
             now = self._reactor.seconds()
             records.append(Record(put.key, put.value.encode(), now))
--- a/chicorystack/platform/store.py
+++ b/chicorystack/platform/store.py
@@ -1,6 +1,5 @@
 """Client of the platform's store; implements KeyedLog."""
 
-import base64
 import struct
 from collections.abc import Iterator
 from typing import NamedTuple
@@ -9,6 +8,8 @@
 import msgspec
 
 from chicorystack import defaults
+from chicorystack.decoding import JsonDecoder
+from chicorystack.observe.events import emit
 from chicorystack.store.adaptive_timeout import AdaptiveTimeout
 from chicorystack.store.keyed_log import (
     ConflictError,
@@ -41,12 +42,12 @@
 
     Attributes:
         Key: Key of the record.
-        Value: Value in base64.
+        Value: Value, sent in base64.
         Offset: Offset of the record.
     """
 
     Key: str
-    Value: str
+    Value: bytes
     Offset: int
 
 
@@ -77,8 +78,8 @@
     Offset: int = -1
 
 
-_newest_decoder = msgspec.json.Decoder(_NewestReply)
-_append_decoder = msgspec.json.Decoder(_AppendReply)
+_newest_decoder = JsonDecoder(_NewestReply)
+_append_decoder = JsonDecoder(_AppendReply)
 
 
 class StoreSettings(NamedTuple):
@@ -243,8 +244,7 @@
 
 
 def _decode_entry(entry: _NewestEntry) -> KeyedRecord:
-    value = base64.b64decode(entry.Value)
-    return KeyedRecord(entry.Key, value, entry.Offset)
+    return KeyedRecord(entry.Key, entry.Value, entry.Offset)
 
 
 def _encode_record(record: KeyedRecord) -> bytes:
@@ -257,7 +257,7 @@
     """Decodes the reply to `log-read`, whose offsets have no gaps."""
     try:
         records = list(_iterate_records(body, start))
-    except (struct.error, IndexError, UnicodeDecodeError) as error:
+    except struct.error as error:
         raise StoreError(f"cannot decode records: {error}") from error
     return ReadResult(records, start + len(records))
 
@@ -268,9 +268,21 @@
     while position < len(body):
         (length,) = RECORD_LENGTH.unpack_from(body, position)
         position += RECORD_LENGTH.size
-        content = body[position : position + length]
-        key_end = 1 + content[0]
-        key = content[1:key_end].decode()
-        yield KeyedRecord(key, content[key_end:], offset)
+        if position + length > len(body):
+            raise StoreError("the reply ends in the middle of a record")
+        yield _decode_record(body[position : position + length], offset)
         position += length
         offset += 1
+
+
+def _decode_record(content: bytes, offset: int) -> KeyedRecord:
+    """Decodes a record that any program may have written.
+
+    One without a whole key counts as the deletion of a key that nobody has.
+    """
+    key_end = 1 + content[0] if content else 1
+    if key_end > len(content):
+        emit("store", "unreadable", offset=offset, size=len(content))
+        return KeyedRecord("", b"", offset)
+    key = content[1:key_end].decode(errors="backslashreplace")
+    return KeyedRecord(key, content[key_end:], offset)
--- a/chicorystack/platform/target_entries.py
+++ b/chicorystack/platform/target_entries.py
@@ -4,7 +4,9 @@
 
 import msgspec
 
+from chicorystack.decoding import JsonDecoder
 from chicorystack.gateway.targets import TargetEntry
+from chicorystack.observe.events import emit
 from chicorystack.store.keyed_log import KeyedRecord, Partition
 from chicorystack.web.exchange import Address
 
@@ -38,7 +40,7 @@
     born: int = 0
 
 
-_decoder = msgspec.json.Decoder(_Entry)
+_decoder = JsonDecoder(_Entry)
 
 
 def decode_entries(
@@ -70,6 +72,7 @@
             warmup_s=entry.ColdRemainingMs / 1000,
             version=entry.Version,
         )
-    except (msgspec.DecodeError, ValueError, KeyError):
+    except (msgspec.DecodeError, ValueError, KeyError) as error:
         # Written by another program; not the entry of a target.
+        emit("targets", "unreadable", key=record.key, reason=repr(error))
         return None
--- a/chicorystack/router/admission.py
+++ b/chicorystack/router/admission.py
@@ -11,6 +11,7 @@
 from chicorystack.budget.keeper.wallet import Reservation
 from chicorystack.calls.messages import CallHeader, GenerateBody
 from chicorystack.config.model import FleetConfig, Operation, Service
+from chicorystack.decoding import decode_json
 from chicorystack.errors import ApiError
 from chicorystack.membership.readiness import missing_dependency
 from chicorystack.quarantine.strikes import StrikeTable, content_hash
@@ -260,7 +261,7 @@
 
 def _decode_body(body: bytes, body_type):
     try:
-        return msgspec.json.decode(body, type=body_type)
+        return decode_json(body, body_type)
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
         raise ApiError(
             "bad_request", f"invalid body: {error}", "rejected"
--- a/chicorystack/router/forwarder.py
+++ b/chicorystack/router/forwarder.py
@@ -20,15 +20,16 @@
     CallHeader,
     EndRecord,
 )
+from chicorystack.decoding import JsonDecoder
 from chicorystack.errors import ApiError, ChicoryError, ErrorReply
 from chicorystack.observe.invariants import InvariantError, require
 from chicorystack.router.progress import AttemptTimeouts, DeliveryProgress
 from chicorystack.web.client import BytesProducer, make_http_agent
 from chicorystack.web.server import FLEET_TOKEN_HEADER
 
-answer_decoder = msgspec.json.Decoder(AnswerHeader)
-end_decoder = msgspec.json.Decoder(EndRecord)
-error_decoder = msgspec.json.Decoder(ErrorReply)
+answer_decoder = JsonDecoder(AnswerHeader)
+end_decoder = JsonDecoder(EndRecord)
+error_decoder = JsonDecoder(ErrorReply)
 
 
 class NotDeliveredError(ChicoryError):
--- a/chicorystack/standin/plain_service.py
+++ b/chicorystack/standin/plain_service.py
@@ -3,11 +3,11 @@
 from collections import Counter
 from typing import TypedDict
 
-import msgspec
 from twisted.internet import task
 from twisted.web import resource, server
 
 from chicorystack.calls.messages import Empty, EngineLoad
+from chicorystack.decoding import decode_json
 from chicorystack.web.server import (
     JsonEndpoint,
     ResourceTree,
@@ -76,9 +76,7 @@
         self._runs_by_operation[operation] += 1
         self._runs_by_key[get_header(request, "idempotency-key") or ""] += 1
         request.content.seek(0)
-        fields = msgspec.json.decode(
-            request.content.read(), type=dict[str, object]
-        )
+        fields = decode_json(request.content.read(), dict[str, object])
         await task.deferLater(self._clock, self._work_s)
         number = sum(self._runs_by_operation.values())
         reply = ServiceReply(
--- a/chicorystack/web/client.py
+++ b/chicorystack/web/client.py
@@ -9,6 +9,7 @@
 from zope.interface import implementer
 
 from chicorystack import defaults
+from chicorystack.decoding import decode_json
 from chicorystack.errors import ApiError, ChicoryError, ErrorReply
 from chicorystack.web.server import FLEET_TOKEN_HEADER
 
@@ -129,8 +130,8 @@
     """
     try:
         if status == 200:
-            return msgspec.json.decode(payload, type=reply_type)
-        error_body = msgspec.json.decode(payload, type=ErrorReply)["error"]
+            return decode_json(payload, reply_type)
+        error_body = decode_json(payload, ErrorReply)["error"]
     except msgspec.DecodeError as cause:
         raise UnreachableError(f"{url}: status {status}: {cause}") from cause
     raise ApiError(
--- a/chicorystack/web/server.py
+++ b/chicorystack/web/server.py
@@ -11,6 +11,7 @@
 from twisted.web import http, resource, server
 
 from chicorystack import defaults
+from chicorystack.decoding import decode_json
 from chicorystack.errors import ApiError, UserError
 from chicorystack.observe.logs import part_logger
 from chicorystack.web.channel import max_connections
@@ -130,7 +131,7 @@
     """
     request.content.seek(0)
     try:
-        return msgspec.json.decode(request.content.read(), type=body_type)
+        return decode_json(request.content.read(), body_type)
     except (msgspec.DecodeError, UnicodeDecodeError) as cause:
         raise ApiError("bad_request", f"body: {cause}", "rejected") from cause
 
