Read numbers in headers without exceptions

A caller whose Last-Event-Id was a superscript digit, or had over 4,300 digits, got no response, and its call kept the tokens reserved for it; other numbers of that length broke off a caller's connection or a target's response.

Change: decoding.parse_whole_number; larger numbers count as 10**18, so that endless token limits are still refused by the budget.

--- a/chicorystack/gateway/attempt.py
+++ b/chicorystack/gateway/attempt.py
@@ -7,6 +7,7 @@
 from twisted.internet import defer
 
 from chicorystack import defaults
+from chicorystack.decoding import parse_whole_number
 from chicorystack.gateway.event_stream import (
     EventSplitter,
     StreamGapError,
@@ -103,8 +104,7 @@
     def __init__(self, writer: ResponseWriter, last_event_id: str):
         self.writer = writer
         self.started = False
-        last_id = int(last_event_id) if last_event_id.isdigit() else None
-        self.stream = StreamProgress(last_id)
+        self.stream = StreamProgress(parse_whole_number(last_event_id))
 
     @property
     def last_event_id(self) -> str:
--- a/chicorystack/gateway/event_stream.py
+++ b/chicorystack/gateway/event_stream.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator
 from typing import NamedTuple
 
+from chicorystack.decoding import parse_whole_number
 from chicorystack.errors import ChicoryError
 
 EVENT_END = b"\n\n"
@@ -90,6 +91,5 @@
 def _event_id(part: bytes) -> int | None:
     for line in part.split(b"\n"):
         if line.startswith(ID_FIELD):
-            text = line[len(ID_FIELD) :].strip()
-            return int(text) if text.isdigit() else None
+            return parse_whole_number(line[len(ID_FIELD) :].strip())
     return None
--- a/chicorystack/platform/headers.py
+++ b/chicorystack/platform/headers.py
@@ -4,6 +4,7 @@
 import re
 
 from chicorystack import defaults
+from chicorystack.decoding import parse_whole_number
 from chicorystack.gateway.caller_http import RawRequest
 from chicorystack.gateway.messages import (
     Call,
@@ -227,18 +228,17 @@
 
 def _decode_token_limits(value: bytes | None) -> TokenLimits | None:
     prompt, _, output = (value or b"").partition(b",")
-    prompt, output = prompt.strip(), output.strip()
-    if not prompt.isdigit() or not output.isdigit():
-        return None
-    return TokenLimits(int(prompt), int(output))
+    limits = [parse_whole_number(text.strip()) for text in (prompt, output)]
+    return None if None in limits else TokenLimits(*limits)
 
 
 def _decode_prompt_parts(value: bytes | None) -> tuple[PromptPart, ...]:
     parts = []
     for item in (value or b"").split(b","):
         part, _, tokens = item.strip().partition(b":")
-        if part and tokens.isdigit():
-            parts.append(PromptPart(part.decode("latin-1"), int(tokens)))
+        number = parse_whole_number(tokens)
+        if part and number is not None:
+            parts.append(PromptPart(part.decode("latin-1"), number))
     return tuple(parts)
 
 
@@ -278,11 +278,11 @@
 def _decode_load(value: bytes | None) -> LoadSample | None:
     """Returns a load of three figures, or of four if it states the pace."""
     fields = [item.strip() for item in (value or b"").split(b",")]
-    if len(fields) not in (3, 4) or not all(map(bytes.isdigit, fields[:3])):
+    counts = [parse_whole_number(field) for field in fields[:3]]
+    if len(fields) not in (3, 4) or None in counts:
         return None
     pace = _decode_pace(fields[3]) if len(fields) == 4 else None
-    running, waiting, slots = map(int, fields[:3])
-    return LoadSample(running, waiting, slots, pace)
+    return LoadSample(*counts, pace)
 
 
 def _decode_pace(value: bytes) -> float | None:
--- a/chicorystack/platform/store.py
+++ b/chicorystack/platform/store.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from chicorystack import defaults
-from chicorystack.decoding import JsonDecoder
+from chicorystack.decoding import JsonDecoder, parse_whole_number
 from chicorystack.observe.events import emit
 from chicorystack.store.adaptive_timeout import AdaptiveTimeout
 from chicorystack.store.keyed_log import (
@@ -172,9 +172,9 @@
 
     def _record_era(self, response: HttpResponse) -> None:
         """Notes the era; a response that arrives late may name an older one."""
-        text = _find_header(response, ERA).strip()
-        if text.isdigit():
-            self.era = max(self.era, int(text))
+        era = parse_whole_number(_find_header(response, ERA).strip())
+        if era is not None:
+            self.era = max(self.era, era)
 
     async def _newest_page(
         self, partition: Partition, after: str | None
--- a/chicorystack/router/admission.py
+++ b/chicorystack/router/admission.py
@@ -11,7 +11,7 @@
 from chicorystack.budget.keeper.wallet import Reservation
 from chicorystack.calls.messages import CallHeader, GenerateBody
 from chicorystack.config.model import FleetConfig, Operation, Service
-from chicorystack.decoding import decode_json
+from chicorystack.decoding import decode_json, parse_whole_number
 from chicorystack.errors import ApiError
 from chicorystack.membership.readiness import missing_dependency
 from chicorystack.quarantine.strikes import StrikeTable, content_hash
@@ -224,13 +224,14 @@
     text = get_header(request, TIMEOUT_HEADER)
     if text is None:
         return defaults.CALL_TIMEOUT_MS
-    if not text.isascii() or not text.isdigit() or int(text) < 1:
+    timeout_ms = parse_whole_number(text)
+    if not timeout_ms:
         raise ApiError(
             "bad_request",
             "Chicory-Timeout-Ms must be a whole number above 0",
             "rejected",
         )
-    return min(int(text), defaults.MAX_CALL_TIMEOUT_MS)
+    return min(timeout_ms, defaults.MAX_CALL_TIMEOUT_MS)
 
 
 def _hash_content(service: Service, operation: Operation, body: bytes) -> str:
--- a/chicorystack/web/exchange.py
+++ b/chicorystack/web/exchange.py
@@ -15,6 +15,7 @@
 from twisted.internet.endpoints import TCP4ClientEndpoint
 
 from chicorystack import defaults
+from chicorystack.decoding import parse_whole_number
 from chicorystack.errors import ChicoryError
 
 Headers = list[tuple[bytes, bytes]]
@@ -247,8 +248,9 @@
     """
     for item in value.split(b","):
         name, _, seconds = item.strip().partition(b"=")
-        if name.strip().lower() == b"timeout" and seconds.strip().isdigit():
-            timeout_s = float(seconds) * defaults.KEEP_ALIVE_FRACTION
+        timeout_s = parse_whole_number(seconds.strip())
+        if name.strip().lower() == b"timeout" and timeout_s is not None:
+            timeout_s *= defaults.KEEP_ALIVE_FRACTION
             return min(timeout_s, defaults.KEEP_ALIVE_MAX_S)
     return defaults.KEEP_ALIVE_MAX_S
 
--- a/tests/gateway/test_event_stream.py
+++ b/tests/gateway/test_event_stream.py
@@ -4,6 +4,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from chicorystack.decoding import MAX_WHOLE_NUMBER
 from chicorystack.gateway.event_stream import (
     EventSplitter,
     StreamGapError,
@@ -53,3 +54,9 @@
     (next_event,) = EventSplitter().feed(event(4))
     with pytest.raises(StreamGapError):
         progress.accept(next_event)
+
+
+def test_event_with_an_endless_id_raises_no_error():
+    """Guards against an exception for the digits of a broken target."""
+    (read,) = EventSplitter().feed(b"id: " + b"9" * 5000 + b"\n\n")
+    assert read.id == MAX_WHOLE_NUMBER
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -2,6 +2,8 @@
 
 import pytest
 
+from chicorystack.decoding import MAX_WHOLE_NUMBER
+from chicorystack.gateway.attempt import ResponseProgress
 from chicorystack.gateway.caller_http import RawRequest
 from chicorystack.gateway.messages import Call
 from chicorystack.gateway.model import CallKind, Route, WeightedService
@@ -174,3 +176,32 @@
     )
     assert head.cold_s == cold_s
     assert PlatformTargetCodec().decode_head(200, []).cold_s is None
+
+
+@pytest.mark.parametrize("last_event_id", ["\xb2", "9" * 5000])
+def test_last_event_id_that_is_no_usable_number_raises_no_error(last_event_id):
+    """Guards against a call that keeps its tokens, and has no response."""
+    ResponseProgress(None, last_event_id)
+
+
+ENDLESS = b"9" * 5000
+
+
+@pytest.mark.parametrize("value", [ENDLESS + b",1", b"1," + ENDLESS])
+def test_endless_token_limits_count_as_large_ones(value):
+    """Guards against a request that is closed on, or served without limits."""
+    limits = decode((b"X-Chicorystack-Token-Usage", value)).token_limits
+    assert limits.total > MAX_WHOLE_NUMBER
+
+
+def test_endless_prompt_part_is_decoded():
+    """Guards against a request that is closed on."""
+    request = decode((b"X-Chicorystack-Prompt-Prefix", b"5c1e:" + ENDLESS))
+    assert request.prompt_parts == (("5c1e", MAX_WHOLE_NUMBER),)
+
+
+def test_endless_load_of_a_target_is_decoded():
+    """Guards against a response that is broken off by its target's load."""
+    headers = [(b"x-chicorystack-engine-load", b"1,2," + ENDLESS)]
+    head = PlatformTargetCodec().decode_head(200, headers)
+    assert head.load.slots == MAX_WHOLE_NUMBER
