Bound a stream's age by its caller's deadline too

A caller could get a stream that was joined from two versions, with nothing in the answer to show it: it waits for longer than its route's timeout, all routers are killed meanwhile, and the old version's targets leave.

Cause: whether one version alone can have begun a stream was judged by twice the route's timeout, though a caller with a longer deadline takes its stream up by several requests.

Change: the longer one of the caller's and the route's time counts, at most the 60 s for which a stream's origin is kept.

--- a/chicorystack/defaults.py
+++ b/chicorystack/defaults.py
@@ -658,7 +658,8 @@
 STREAM_NOTICE_URGENT_S = 0.01
 STREAM_PEER_TIMEOUT_S = 0.2
 STREAM_PEER_SILENT_S = 2.0
-# Age of a stream, as a multiple of its route's timeout, at most.
+# Age of a stream, as a multiple of the time that its caller or its route waits
+# for a response, at most.
 STREAM_AGE_TIMEOUTS = 2.0
 # Age up to which what was read of the registry of targets is current, and how
 # often a caller that waits for a read checks for it.
--- a/chicorystack/gateway/dispatcher.py
+++ b/chicorystack/gateway/dispatcher.py
@@ -179,9 +179,8 @@
         if route.kind is not CallKind.STREAM or not request.last_event_id:
             return call
         services = tuple(split.service for split in route.services)
-        began_within_s = route.timeout_s * defaults.STREAM_AGE_TIMEOUTS
         origin = await self._origins.finder.find(
-            ResumedStream(request.resumes, services, began_within_s)
+            ResumedStream(request.resumes, services, _max_stream_age_s(call))
         )
         if origin is None:
             retry_s = random.uniform(*defaults.NO_TARGET_RETRY_RANGE_S)
@@ -243,3 +242,14 @@
         if service is None or service.engine is None:
             return 1
         return service.engine.max_tokens_per_event
+
+
+def _max_stream_age_s(call: Call) -> float:
+    """Returns how long ago a stream that is taken up may have begun.
+
+    A caller may wait longer than the route's timeout, by several requests.
+    """
+    waits_s = max(call.route.timeout_s, call.request.timeout_s or 0.0)
+    return min(
+        waits_s * defaults.STREAM_AGE_TIMEOUTS, defaults.STREAM_ORIGIN_KEEP_S
+    )
--- a/tests/gateway/test_drain.py
+++ b/tests/gateway/test_drain.py
@@ -1,179 +1,19 @@
 """Tests that a router that stops cuts no request that it has passed on."""
 
-import json
-
 import pytest
-from twisted.internet import defer, task
-from twisted.internet.error import ConnectError
-from twisted.internet.testing import MemoryReactorClock, StringTransport
-from twisted.python.failure import Failure
 
 from chicorystack import defaults
-from chicorystack.gateway.process import GatewayProcess
-from chicorystack.gateway.settings import GatewaySettings
-from chicorystack.platform import operator_config, target_entries
-from chicorystack.platform.router import ADAPTER
-from chicorystack.routing.retry_budget import RetryBounds
-from chicorystack.store.keyed_log import KeyedRecord, ReadResult
-from chicorystack.web.exchange import Address
-from tests.support.raw_http import build_request, parse_response
+from tests.support.memory_router import (
+    GRACE_S,
+    STEP_S,
+    MemoryRouter,
+    stream_request,
+)
+from tests.support.raw_http import parse_response
 
-GRACE_S = 8.0
-STEP_S = 0.05
 # Time into the stop at which the port is closed, and no excuse is left for
 # requests that are cut.
 LATE_S = 3.1
-CALLERS_PORT = 7000
-TARGET_PORT = 9000
-CONFIG = {
-    "Version": 1,
-    "Routes": [
-        {
-            "Name": "guide",
-            "Host": "x",
-            "PathPrefix": "/guide/",
-            "Kind": "streaming",
-            "Service": "llm",
-            "TimeoutMs": 15_000,
-            "SloMs": 800,
-        }
-    ],
-    "Services": [{"Name": "llm"}],
-}
-TARGET = {
-    "Service": "llm",
-    "Address": f"127.0.0.1:{TARGET_PORT}",
-    "Zone": "a",
-    "Slots": 8,
-    "State": "ready",
-}
-RECORDS_BY_PARTITION = {
-    operator_config.PARTITION: [
-        KeyedRecord("config", json.dumps(CONFIG).encode(), 0)
-    ],
-    target_entries.PARTITION: [
-        KeyedRecord("i-1", json.dumps(TARGET).encode(), 0)
-    ],
-}
-
-
-class FixedLog:
-    """A store in which nothing changes."""
-
-    era = 1
-
-    def __init__(self, reactor):
-        self._reactor = reactor
-
-    async def read_newest(self, partition):
-        records = RECORDS_BY_PARTITION.get(partition, [])
-        return ReadResult(records, len(records))
-
-    async def read(self, _partition, start, wait_s):
-        await task.deferLater(self._reactor, max(wait_s, STEP_S))
-        return ReadResult([], start)
-
-    async def append(self, _partition, _records, expected_end=None):
-        return expected_end or 0
-
-
-class TargetTransport(StringTransport):
-    """A connection in memory that takes the options of a socket."""
-
-    def setTcpNoDelay(self, enabled):
-        """Does nothing."""
-
-    def setTcpKeepAlive(self, enabled):
-        """Does nothing."""
-
-
-class TargetSide:
-    """The target's side of a connection, with one request."""
-
-    def __init__(self, factory):
-        self._transport = TargetTransport()
-        self._protocol = factory.buildProtocol(None)
-        self._protocol.makeConnection(self._transport)
-
-    def begin(self, request_id):
-        self._protocol.dataReceived(
-            b"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n"
-            b"x-chicorystack-request-attempt-id: %b\r\n"
-            b"x-chicorystack-response-seal: s\r\n"
-            b"transfer-encoding: chunked\r\n\r\n"
-            b"f\r\nid: 1\ndata: a\n\n\r\n" % request_id
-        )
-
-    def finish(self):
-        self._protocol.dataReceived(b"0\r\n\r\n")
-
-
-class Router:
-    """A router in memory; the test plays its callers and its target."""
-
-    def __init__(self):
-        self.reactor = MemoryReactorClock()
-        addresses = [Address("127.0.0.1", CALLERS_PORT + n) for n in range(4)]
-        settings = GatewaySettings(
-            "r", "a", *addresses, 1000, RetryBounds(0.2, 10.0, 5.0),
-            float("inf"), GRACE_S, float("inf"),
-        )  # fmt: skip
-        self.process = GatewayProcess(
-            self.reactor, settings, FixedLog(self.reactor), ADAPTER
-        )
-        self.process.start()
-        self.advance(1.0)
-
-    def advance(self, seconds):
-        for _ in range(round(seconds / STEP_S)):
-            self.reactor.advance(STEP_S)
-
-    def connect(self):
-        """Opens a caller's connection; returns the router's side of it."""
-        site = next(
-            factory
-            for port, factory, *_ in self.reactor.tcpServers
-            if port == CALLERS_PORT
-        )
-        channel = site.buildProtocol(None)
-        channel.makeConnection(StringTransport())
-        return channel
-
-    def begin_stream(self, channel, request_id):
-        """Sends a request whose target sends a first event."""
-        channel.dataReceived(stream_request(request_id))
-        target = self.accept_at_target()
-        target.begin(request_id)
-        return target
-
-    def accept_at_target(self):
-        """Accepts the one connection that the router opens to the target."""
-        return TargetSide(self._take_connection())
-
-    def fail_connection(self):
-        """Lets the one connection to the target fail."""
-        failure = Failure(ConnectError())
-        self._take_connection().clientConnectionFailed(None, failure)
-
-    def _take_connection(self):
-        (client,) = self.opened_to_target()
-        self.reactor.tcpClients.remove(client)
-        return client[2]
-
-    def opened_to_target(self):
-        return [c for c in self.reactor.tcpClients if c[1] == TARGET_PORT]
-
-    def stop(self):
-        """Stops as SIGTERM does."""
-        defer.ensureDeferred(self.process.drain())
-
-
-def stream_request(request_id, deadline_ms=15_000):
-    headers = [
-        (b"x-chicorystack-request-attempt-id", request_id),
-        (b"x-chicorystack-deadline-ms", b"%d" % deadline_ms),
-    ]
-    return build_request(b"POST", b"/guide/1", headers)
 
 
 def response_after_first(channel):
@@ -184,7 +24,7 @@
 
 @pytest.fixture
 def router():
-    return Router()
+    return MemoryRouter()
 
 
 def test_request_that_follows_late_in_a_stop_is_not_cut(router):
