Count a registry as watched from its last gap on

A stream that nobody knows may go on at the only version that was registered for as long as it may be old. A router that had missed changes (deleted history, another era of the store, an error) still counted as watching since its start, and could infer a version wrongly.

test_changes_that_were_missed_end_what_was_read_without_a_gap failed on the code before (loaded_at 0.01, the gap ended at 2.1).

--- a/chicorystack/store/follower.py
+++ b/chicorystack/store/follower.py
@@ -55,7 +55,8 @@
 
     Attributes:
         loaded: Whether the newest record of each key has been read once.
-        loaded_at: Clock time at which it was, in seconds; None before.
+        loaded_at: Clock time at which it was last read, in seconds; None
+            before. Each change since then has been delivered.
         read_began_at: Clock time at which the last successful read began, in
             seconds.
         last_response_at: Clock time of the last successful read, in seconds.
@@ -148,7 +149,7 @@
         if self._note_era():
             return 0.0
         self._end = page.end
-        if not self.loaded:
+        if is_snapshot:
             self.loaded = True
             self.loaded_at = self._clock.seconds()
         if page.records or is_snapshot:
--- a/chicorystack/streams/versions.py
+++ b/chicorystack/streams/versions.py
@@ -15,12 +15,12 @@
     """When the registry of targets was read.
 
     Attributes:
-        first_at: Clock time of the first complete read, in seconds; None
-            before it.
+        complete_since: Clock time since which each change has been read, in
+            seconds; None before the first complete read.
         began_at: Clock time when the last successful read began, in seconds.
     """
 
-    first_at: float | None
+    complete_since: float | None
     began_at: float
 
 
@@ -86,7 +86,7 @@
 
     def _has_watched(self, since: float) -> bool:
         reads = self._reads()
-        if reads.first_at is None or reads.first_at > since:
+        if reads.complete_since is None or reads.complete_since > since:
             return False
         age_s = self._clock.seconds() - reads.began_at
         return age_s <= defaults.REGISTRY_FRESH_S
--- a/tests/platform/test_stream_versions.py
+++ b/tests/platform/test_stream_versions.py
@@ -160,6 +160,27 @@
     assert_one_version_each(fleet, streams)
 
 
+def test_streams_are_not_joined_after_all_routers_were_killed(fleet):
+    """Guards against a guess at the version that is left after a release."""
+    streams = begin_streams(fleet, "router-1")
+    for name in ROUTERS:
+        fleet.signal(name, signal.SIGKILL)
+        fleet.process_by_name[name].wait(5)
+    for name, version in VERSION_BY_ENGINE.items():
+        if version != "v1.2":
+            fleet.put_record("keyed.servers", name, "")
+            fleet.signal(name, signal.SIGKILL)
+    for name in ROUTERS:
+        fleet.start_router(name)
+    fleet.wait_until_ready()
+    again = [
+        Stream(fleet, router, f"again-{begun.id}", begun.id, last_id)
+        for (begun, last_id), router in zip(streams, ROUTERS * 6, strict=False)
+    ]
+    assert {stream.status for stream in again} == {503}
+    assert versions_that_ran(fleet, *(stream.id for stream in again)) == set()
+
+
 def test_stream_that_no_router_knows_does_not_go_on_at_a_guess(fleet):
     stream = Stream(fleet, "router-1", "again-1", "never-begun", 3)
     assert stream.status == 503
--- a/tests/store/test_follower.py
+++ b/tests/store/test_follower.py
@@ -121,3 +121,20 @@
     calls = fixture.log.calls
     fixture.run(1.0)
     assert fixture.log.calls - calls <= 6
+
+
+def test_changes_that_were_missed_end_what_was_read_without_a_gap():
+    """Guards against inferring that a version was never there."""
+    fixture = FollowerFixture([("a", b"1")])
+    fixture.run(0.1)
+    began_at = fixture.follower.loaded_at
+    fixture.run(1.0)
+    assert fixture.follower.loaded_at == began_at
+    fixture.log.down = True
+    fixture.put(("b", b"1"), ("b", b""))
+    fixture.log.forget_history()
+    fixture.run(1.0)
+    fixture.log.down = False
+    gap_end = fixture.clock.seconds()
+    fixture.run(1.0)
+    assert fixture.follower.loaded_at >= gap_end
--- a/tests/streams/simulation.py
+++ b/tests/streams/simulation.py
@@ -86,9 +86,9 @@
         if self.fleet.reaches_store(self.name):
             entries = list(self.fleet.entries.values())
             self.registry.apply([(e.id, e) for e in entries], snapshot=True)
-            first_at = self.reads.first_at
+            since = self.reads.complete_since
             self.reads = RegistryReads(
-                began_at if first_at is None else first_at, began_at
+                began_at if since is None else since, began_at
             )
         if pause_s is not None:
             self.fleet.clock.callLater(pause_s, self.read_store)
