Believe refusals without an ID on new connections only

A call that may be repeated could be told "not run" while its target ran it, and run uncharged: an earlier refusal that the target wrote once more on the kept connection counted for it.

Cause: a response that denies a run needed no ID. Refusals without one exist: health reads share the connections with calls. Also, what a response of another call said of its target was recorded, and a call's response passed for a health answer. Calls that may run once were safe: each gets a new connection.

Change: without an ID, only the first response on a connection is believed; later ones break the attempt (it may have run). Responses of other calls say nothing of their target; a health answer bears no ID.

--- a/chicorystack/gateway/attempt.py
+++ b/chicorystack/gateway/attempt.py
@@ -210,13 +210,27 @@
         """See ResponseReceiver."""
         self._first_byte_at = self.last_progress_at = self._clock.seconds()
         self._head = head = self._codec.decode_head(status, headers)
+        if self._is_of_another_call(head):
+            reason = "the response belongs to another request"
+            self.stop(AttemptOutcome.BROKEN, reason)
+            return
         self._on_head(head)
-        rejection = _rejection_reason(head, self._call)
+        rejection = _rejection_reason(head)
         if rejection is not None:
             self.stop(AttemptOutcome.BROKEN, rejection)
         elif head.is_stream and _is_success(head):
             self._splitter = EventSplitter()
 
+    def _is_of_another_call(self, head: ResponseHead) -> bool:
+        """Returns whether a response may be that of another call.
+
+        A target may write an earlier response once more. One without an ID
+        that denies a run is believed only if it is the connection's first.
+        """
+        if head.request_id:
+            return head.request_id != self._call.request.id
+        return head.not_run and self._connection.used
+
     def data_received(self, data: bytes) -> None:
         """See ResponseReceiver."""
         if self.done:
@@ -343,10 +357,8 @@
     return 200 <= head.status < 300
 
 
-def _rejection_reason(head: ResponseHead, call: Call) -> str | None:
+def _rejection_reason(head: ResponseHead) -> str | None:
     """Returns why a response must not be forwarded; None if it may be."""
-    if head.request_id and head.request_id != call.request.id:
-        return "the response belongs to another request"
     if head.not_run:
         return None
     if not head.request_id:
--- a/chicorystack/gateway/health_reader.py
+++ b/chicorystack/gateway/health_reader.py
@@ -144,6 +144,9 @@
             # Calls show whether the target can be reached.
             return
         head = self._codec.decode_head(response.status, response.headers)
+        if head.request_id:
+            # An earlier response to a call, written once more.
+            return
         if not head.misdirected and self._registry.is_current(entry):
             self._limiter.record_cold_answer(entry, head.cold_s)
 
--- a/tests/gateway/test_call_run.py
+++ b/tests/gateway/test_call_run.py
@@ -39,6 +39,8 @@
 class FakeConnection:
     """A connection that responds immediately."""
 
+    used = False
+
     def __init__(self, status, target, sent_to):
         self._status = status
         self._target = target
