Open a connection for each call from an agent to its target

On the own interface a caller could get another call's refusal or answer as its own: a target that wrote it once more, late, on a kept connection. The responses of these targets bear no ID of their call.

Cause: the agent's client kept connections. Change: it opens one for each call; agent and target are on one VM.

--- a/chicorystack/agent/main.py
+++ b/chicorystack/agent/main.py
@@ -48,7 +48,6 @@
 from chicorystack.web.client import (
     JsonClient,
     UnreachableError,
-    make_http_agent,
 )
 from chicorystack.web.server import (
     JsonEndpoint,
@@ -79,7 +78,7 @@
             TargetProbe(reactor, settings.target_url),
         )
         target = MonitoredTarget(
-            TargetClient(make_http_agent(reactor), settings.target_url),
+            TargetClient(reactor, settings.target_url),
             self._monitor,
             settings.service,
         )
--- a/chicorystack/agent/target_client.py
+++ b/chicorystack/agent/target_client.py
@@ -13,7 +13,7 @@
 )
 from chicorystack.decoding import decode_json
 from chicorystack.errors import ChicoryError
-from chicorystack.web.client import BytesProducer
+from chicorystack.web.client import BytesProducer, make_http_agent
 
 # More than the length of any engine's last event.
 TAIL_BYTES = 512
@@ -94,10 +94,10 @@
 
 
 class TargetClient:
-    """Calls one target over HTTP."""
+    """Calls one target over HTTP, each time on a new connection."""
 
-    def __init__(self, http: client.Agent, base_url: str):
-        self._http = http
+    def __init__(self, reactor, base_url: str):
+        self._http = make_http_agent(reactor, persistent=False)
         self._base_url = base_url.rstrip("/")
 
     async def generate(
--- a/chicorystack/web/client.py
+++ b/chicorystack/web/client.py
@@ -53,9 +53,16 @@
         """Does nothing: the body has been written completely."""
 
 
-def make_http_agent(reactor) -> client.Agent:
-    """Returns an HTTP client that keeps connections open between requests."""
-    pool = client.HTTPConnectionPool(reactor, persistent=True)
+def make_http_agent(reactor, persistent: bool = True) -> client.Agent:
+    """Returns an HTTP client.
+
+    Args:
+        reactor: The reactor.
+        persistent: Whether connections are kept open between requests. On
+            those of peers whose responses bear no ID of their request, a late
+            response would be taken for that of the next one.
+    """
+    pool = client.HTTPConnectionPool(reactor, persistent=persistent)
     pool.maxPersistentPerHost = defaults.CONNECTIONS_PER_HOST
     pool.retryAutomatically = False
     return client.Agent(
