Keep a target's error out of a stream

Callers of a stream that broke off could find the next target's error in the middle of it, or a stream that ended as if it were complete.

Cause: once a stream had begun, a 200 that is no stream was written behind it; an event without an ID counted as new anywhere, also a whole HTTP head; a close without length or event ended the stream; events read together with a gap counted as sent but were not; events without IDs came twice from the next target; a close ends a response to HTTP/1.0 as complete. Each was seen in a test. Error responses with an error status were never passed on.

Change: after events with IDs, one without breaks the attempt, and what came before it is sent; a stream goes on by a stream with IDs only, and ends without a further event only if the response marks its end; HTTP/1.0 callers get a reset.

--- a/chicorystack/gateway/attempt.py
+++ b/chicorystack/gateway/attempt.py
@@ -10,7 +10,7 @@
 from chicorystack.decoding import parse_whole_number
 from chicorystack.gateway.event_stream import (
     EventSplitter,
-    StreamGapError,
+    StreamEventError,
     StreamProgress,
 )
 from chicorystack.gateway.messages import Call, ResponseHead, ResponseWriter
@@ -112,6 +112,11 @@
         last_id = self.stream.last_id
         return "" if last_id is None else str(last_id)
 
+    @property
+    def can_continue(self) -> bool:
+        """Whether another target can go on after what the caller has."""
+        return not self.started or self.stream.last_id is not None
+
     def start(self, head: ResponseHead) -> None:
         """Sends status and headers unless an earlier attempt already has."""
         if not self.started:
@@ -218,8 +223,11 @@
         rejection = _rejection_reason(head)
         if rejection is not None:
             self.stop(AttemptOutcome.BROKEN, rejection)
-        elif head.is_stream and _is_success(head):
+        elif _is_success(head) and head.is_stream:
             self._splitter = EventSplitter()
+        elif _is_success(head) and self._progress.started:
+            reason = "the response does not continue the stream"
+            self.stop(AttemptOutcome.BROKEN, reason)
 
     def _is_of_another_call(self, head: ResponseHead) -> bool:
         """Returns whether a response may be that of another call.
@@ -237,11 +245,8 @@
             return
         if self._splitter is None:
             self._buffer(data)
-            return
-        try:
+        else:
             self._forward_events(data)
-        except StreamGapError as error:
-            self.stop(AttemptOutcome.BROKEN, str(error))
 
     def exchange_ended(self, failure: ExchangeError | None) -> None:
         """See ResponseReceiver."""
@@ -273,26 +278,30 @@
     def _forward_events(self, data: bytes) -> None:
         stream = self._progress.stream
         is_first = not self.has_sent_events
-        new_events = [
-            event.data
-            for event in self._splitter.feed(data)
-            if stream.accept(event)
-        ]
+        new_events: list[bytes] = []
+        problem = None
+        try:
+            for event in self._splitter.feed(data):
+                if stream.accept(event):
+                    new_events.append(event.data)
+        except StreamEventError as error:
+            problem = str(error)
         if len(self._splitter.incomplete) > defaults.MAX_EVENT_BYTES:
-            self.stop(AttemptOutcome.BROKEN, "an event is too large")
-            return
+            problem = "an event is too large"
         if new_events:
             self.last_progress_at = self._clock.seconds()
             if is_first:
                 self._on_first_event()
             self._progress.start(self._head)
             self._progress.writer.send(b"".join(new_events))
+        if problem is not None:
+            self.stop(AttemptOutcome.BROKEN, problem)
 
     def _end_stream(self) -> AttemptResult:
         problem = None
         if self._splitter.incomplete:
             problem = "the stream ended in the middle of an event"
-        elif not self._progress.last_event_id and not self.has_sent_events:
+        elif not self.has_sent_events and not self._may_be_at_its_end():
             problem = "the stream ended before its first event"
         if problem is not None:
             # Without a length, this is how a crash looks.
@@ -303,6 +312,10 @@
         self._progress.writer.end()
         return self._result(AttemptOutcome.DELIVERED)
 
+    def _may_be_at_its_end(self) -> bool:
+        """Returns whether the caller may have all events of the stream."""
+        return bool(self._progress.last_event_id) and self._head.delimited
+
     def _end_buffered(self) -> AttemptResult:
         head, body = self._head, b"".join(self._body)
         self._drop_body()
--- a/chicorystack/gateway/call_run.py
+++ b/chicorystack/gateway/call_run.py
@@ -315,6 +315,7 @@
         if (
             self._writer.disconnected
             or self._stopped
+            or not self._progress.can_continue
             or self._runs >= self._call.route.max_attempts
         ):
             return False
--- a/chicorystack/gateway/caller_http.py
+++ b/chicorystack/gateway/caller_http.py
@@ -197,9 +197,18 @@
         if self.disconnected:
             return
         self.disconnected = True
-        # The missing last chunk, or a body shorter than its content-length,
-        # shows the caller that the response is truncated.
-        self._end_with(self.channel.loseConnection)
+        self._end_with(self._close_truncated)
+
+    def _close_truncated(self) -> None:
+        """Closes so that the caller sees that the response is truncated.
+
+        The last chunk is missing, or the body is shorter than its length;
+        HTTP/1.0 has neither, so the connection is reset.
+        """
+        if self.clientproto == b"HTTP/1.1":
+            self.channel.loseConnection()
+        else:
+            self.channel.transport.abortConnection()
 
     def refuse(self, refusal: Refusal) -> None:
         """See ResponseWriter."""
--- a/chicorystack/gateway/event_stream.py
+++ b/chicorystack/gateway/event_stream.py
@@ -1,4 +1,4 @@
-"""Splits event streams and detects repeated and missing events."""
+"""Splits event streams and detects repeated, missing and foreign events."""
 
 from collections.abc import Iterator
 from typing import NamedTuple
@@ -10,10 +10,22 @@
 ID_FIELD = b"id:"
 
 
-class StreamGapError(ChicoryError):
+# A comment, or the time after which to reconnect: no part of the content.
+NO_CONTENT_PREFIXES = (b":", b"retry:")
+
+
+class StreamEventError(ChicoryError):
+    """A target sent an event that does not continue the stream."""
+
+
+class StreamGapError(StreamEventError):
     """A target skipped events that the caller does not have."""
 
 
+class NoEventIdError(StreamEventError):
+    """An event without an ID followed events with IDs: a target's error."""
+
+
 class Event(NamedTuple):
     """One complete event.
 
@@ -25,6 +37,12 @@
     data: bytes
     id: int | None
 
+    @property
+    def has_content(self) -> bool:
+        """Whether it has more than comments and control fields."""
+        lines = self.data.rstrip(b"\n").split(b"\n")
+        return not all(line.startswith(NO_CONTENT_PREFIXES) for line in lines)
+
 
 class EventSplitter:
     """Splits the bytes of one target's stream into events."""
@@ -65,8 +83,11 @@
 
         Raises:
             StreamGapError: If events before it are missing.
+            NoEventIdError: If the events before it have IDs, but it has none.
         """
         if event.id is None:
+            if self.last_id is not None and event.has_content:
+                raise NoEventIdError("an event has no ID")
             self.events += 1
             return True
         if self.last_id is not None:
--- a/chicorystack/gateway/messages.py
+++ b/chicorystack/gateway/messages.py
@@ -151,6 +151,8 @@
             together; None for any rate.
         cold_s: For how long the target stays cold, in seconds; None if not
             stated.
+        delimited: Whether a length or chunks mark the end of the body, not
+            the end of the connection.
     """
 
     status: int
@@ -167,6 +169,7 @@
     retry_after_s: float | None = None
     calls_per_s: float | None = None
     cold_s: float | None = None
+    delimited: bool = True
 
 
 class Refusal(NamedTuple):
--- a/chicorystack/platform/headers.py
+++ b/chicorystack/platform/headers.py
@@ -80,6 +80,8 @@
         b"expect",
     }
 )
+# Headers that mark the end of a body.
+DELIMITERS = frozenset({b"content-length", b"transfer-encoding"})
 # Prefixes of headers that are forwarded even if the sender lists them in
 # `Connection`.
 PROTECTED_PREFIXES = (b"x-chicorystack-", b"host", b"last-event-id")
@@ -177,6 +179,7 @@
             ),
             calls_per_s=_decode_number(value_by_name.get(RATE_LIMIT)),
             cold_s=_decode_cold_s(value_by_name.get(COLD_MS)),
+            delimited=bool(DELIMITERS & value_by_name.keys()),
         )
 
 
