Pass on an engine's tokens only

On the own interface an error event of an engine reached the caller and counted as a token when the stream went on at another engine; an engine's `event: end` ended the stream as complete.

Cause: the agent passed on whatever stood between blank lines. Change: events with a token only; anything else fails the attempt, after what came before it was passed on.

--- a/chicorystack/agent/target_client.py
+++ b/chicorystack/agent/target_client.py
@@ -1,6 +1,8 @@
 """HTTP client of one target; forwards streamed answers as they arrive."""
 
+import itertools
 from collections.abc import Callable
+from typing import TypedDict
 
 import msgspec
 from twisted.internet import defer, protocol
@@ -32,6 +34,23 @@
         self.tokens = tokens
 
 
+class TokenEvent(TypedDict):
+    """Data of an event with a part of the answer."""
+
+    text: str
+
+
+def _is_token(event: bytes) -> bool:
+    """Returns whether an event is a part of the answer, not an error's text."""
+    if not event.startswith(DATA_PREFIX):
+        return False
+    try:
+        decode_json(event.removeprefix(DATA_PREFIX), TokenEvent)
+    except msgspec.DecodeError:
+        return False
+    return True
+
+
 class StreamReader(protocol.Protocol):
     """Forwards a stream of events and parses the usage in the last one.
 
@@ -62,6 +81,8 @@
         The stream's last event is the engine's usage, which the agent replaces
         with its own end record.
         """
+        if self.finished.called:
+            return
         self._buffer += data
         last_end = self._buffer.rfind(EVENT_END, 0, -len(EVENT_END))
         if last_end < 0:
@@ -80,17 +101,24 @@
         except msgspec.DecodeError:
             if self._buffer.endswith(EVENT_END):
                 self._forward_events(self._buffer)
-            self.finished.errback(
-                TargetFailedError(
-                    "the engine's stream ended without usage", self.event_count
-                )
-            )
+            self._fail("the engine's stream ended without usage")
             return
         self.finished.callback(usage)
 
     def _forward_events(self, complete: bytes) -> None:
-        self.event_count += complete.count(EVENT_END)
-        self._forward(complete)
+        """Forwards events up to the first one that is not of the answer."""
+        events = complete.removesuffix(EVENT_END).split(EVENT_END)
+        tokens = list(itertools.takewhile(_is_token, events))
+        if tokens:
+            self.event_count += len(tokens)
+            self._forward(EVENT_END.join([*tokens, b""]))
+        if len(tokens) < len(events):
+            self._fail("the engine sent something else than a token")
+            self.transport.loseConnection()
+
+    def _fail(self, reason: str) -> None:
+        if not self.finished.called:
+            self.finished.errback(TargetFailedError(reason, self.event_count))
 
 
 class TargetClient:
--- a/tests/agent/test_target_client.py
+++ b/tests/agent/test_target_client.py
@@ -1,9 +1,14 @@
-"""Tests that a response is not taken for that of another request."""
+"""Tests that a caller gets what the target answered to its own call, only."""
 
+import pytest
 from twisted.internet import defer
-from twisted.internet.testing import MemoryReactorClock
+from twisted.internet.testing import MemoryReactorClock, StringTransport
 
-from chicorystack.agent.target_client import TargetClient
+from chicorystack.agent.target_client import (
+    StreamReader,
+    TargetClient,
+    TargetFailedError,
+)
 from tests.support.memory_router import TargetTransport
 
 EARLIER = b"HTTP/1.1 503 Full\r\ncontent-length: 7\r\n\r\nearlier"
@@ -31,3 +36,49 @@
     protocol = factory.buildProtocol(None)
     protocol.makeConnection(TargetTransport())
     return protocol
+
+
+TOKEN = b'data: {"text": "a"}\n\n'
+USAGE = b'data: {"done": true, "prompt_tokens": 1, "completion_tokens": 1}\n\n'
+ERRORS = [
+    b'{"error": "out of memory"}\n\n',
+    b'event: error\ndata: {"error": "out of memory"}\n\n',
+    b'event: end\ndata: {"tokens": 0}\n\n',
+    b"HTTP/1.1 503 Full\n\n",
+]
+
+
+class Generation:
+    """A stream that the test sends."""
+
+    def __init__(self):
+        self.forwarded = []
+        self.reader = StreamReader(self.forwarded.append, lambda _reader: None)
+        self.reader.makeConnection(StringTransport())
+        self.failures = []
+        self.reader.finished.addErrback(self.failures.append)
+
+    def receive(self, *events):
+        for event in events:
+            self.reader.dataReceived(event)
+        self.reader.connectionLost(None)
+
+
+@pytest.mark.parametrize("after", [(), (TOKEN,), (TOKEN, USAGE)])
+@pytest.mark.parametrize("error", ERRORS)
+def test_error_of_an_engine_is_not_part_of_its_stream(error, after):
+    """Guards against an error's text, or a false end, in a caller's stream."""
+    generation = Generation()
+    generation.receive(TOKEN + TOKEN, error, *after)
+    assert b"".join(generation.forwarded) == TOKEN * 2
+    (failure,) = generation.failures
+    assert failure.check(TargetFailedError)
+    assert generation.reader.event_count == 2
+
+
+def test_whole_stream_of_an_engine_is_forwarded():
+    """Guards against dropping events of the answer."""
+    generation = Generation()
+    generation.receive(TOKEN[:9], TOKEN[9:] + TOKEN + USAGE[:5], USAGE[5:])
+    assert b"".join(generation.forwarded) == TOKEN * 2
+    assert generation.failures == []
