Settle a call by the configuration that admitted it

Cause: the tokens of an event were looked up when the stream had ended; a service that is gone counted as one with single tokens. Ruled out: a lost reservation (a dropped customer's stream was charged in full).

Change: the configuration that admitted a call settles it, and says whether its customer has a budget.

--- a/chicorystack/gateway/dispatcher.py
+++ b/chicorystack/gateway/dispatcher.py
@@ -14,7 +14,12 @@
 from chicorystack.gateway.admission import Admission, RefusedError, refuse
 from chicorystack.gateway.attempt import TargetCodec
 from chicorystack.gateway.call_run import CallRunner
-from chicorystack.gateway.messages import Call, CallerRequest, ResponseWriter
+from chicorystack.gateway.messages import (
+    Call,
+    CallerRequest,
+    ResponseWriter,
+    TokenLimits,
+)
 from chicorystack.gateway.model import CallKind, GatewayConfig
 from chicorystack.gateway.outcomes import record_refused
 from chicorystack.gateway.target_pool import TargetPool
@@ -99,14 +104,19 @@
     async def _serve(
         self, request: CallerRequest, writer: ResponseWriter
     ) -> None:
+        # The call is settled by the terms that it is admitted with.
+        config = self._config()
         try:
             call = self._admission.admit(request)
+            has_budget = self._grants.has_budget(call.customer)
             self._check_stop(call)
             self._check_strikes(call)
             self._check_locations(call)
             self._retries.record_call(call.service)
             call = await self._pin_resumed_stream(call)
-            reservation = await self._reserve(call, writer)
+            reservation = None
+            if has_budget and request.token_limits is not None:
+                reservation = await self._reserve(call, request.token_limits)
         except RefusedError as error:
             record_refused(request.id, self._config().version, error.refusal)
             writer.refuse(error.refusal)
@@ -127,7 +137,9 @@
             runner.stop()
         try:
             await runner.run()
-            spent = runner.tokens_used(self._tokens_per_event(call))
+            spent = runner.tokens_used(
+                config.max_tokens_per_event(call.service)
+            )
         finally:
             self._runners.discard(runner)
             if reservation is not None:
@@ -192,21 +204,14 @@
         return call._replace(service=origin.service, version=origin.version)
 
     async def _reserve(
-        self, call: Call, writer: ResponseWriter
-    ) -> GrantReservation | None:
+        self, call: Call, tokens: TokenLimits
+    ) -> GrantReservation:
         """Reserves the call's tokens.
 
-        Returns:
-            The reservation; None for a call without token limits or whose
-            customer has no budget.
-
         Raises:
             RefusedError: If the budget is exhausted or no tokens were granted
                 in time.
         """
-        tokens = call.request.token_limits
-        if tokens is None or not self._grants.has_budget(call.customer):
-            return None
         now = self._clock.seconds()
         give_up_at = min(call.deadline, now + defaults.GRANT_CALL_WAIT_S)
         try:
@@ -237,12 +242,6 @@
             or priority <= self._most_urgent
         )
 
-    def _tokens_per_event(self, call: Call) -> int:
-        service = self._config().service_by_name.get(call.service)
-        if service is None or service.engine is None:
-            return 1
-        return service.engine.max_tokens_per_event
-
 
 def _max_stream_age_s(call: Call) -> float:
     """Returns how long ago a stream that is taken up may have begun.
--- a/chicorystack/gateway/model.py
+++ b/chicorystack/gateway/model.py
@@ -177,6 +177,13 @@
         )
         return min(priorities, default=None)
 
+    def max_tokens_per_event(self, service: str) -> int:
+        """Returns the most tokens that one event of a service carries."""
+        spec = self.service_by_name.get(service)
+        if spec is None or spec.engine is None:
+            return 1
+        return spec.engine.max_tokens_per_event
+
     def routes(self) -> Iterator[Route]:
         """Yields all routes."""
         for routes in self.routes_by_host.values():
--- /dev/null
+++ b/tests/gateway/test_settlement.py
@@ -0,0 +1,49 @@
+"""Tests that calls are settled by the terms that they were admitted with."""
+
+import pytest
+
+from tests.support.memory_router import CONFIG, MemoryRouter
+
+STRIDE = 4
+PROMPT = 20
+USAGE = (b"x-chicorystack-token-usage", b"%d,80" % PROMPT)
+KEY = (b"authorization", b"Bearer key")
+ADMITTING = CONFIG | {
+    "Version": 2,
+    "Services": [{"Name": "llm", "Engine": {"Stride": STRIDE}}],
+    "Tenants": [{"Name": "alpha", "ApiKeys": ["key"], "Prepaid": 1000}],
+}
+LATER = {
+    "service dropped": {"Services": [], "Routes": []},
+    "other stride": {"Services": [{"Name": "llm", "Engine": {"Stride": 1}}]},
+    "customer dropped": {"Tenants": []},
+}
+
+
+class Grants:
+    """Reserves all that is asked for, and collects what was spent."""
+
+    def __init__(self):
+        self.spent = []
+
+    def has_budget(self, customer):
+        return customer == "alpha"
+
+    async def reserve(self, _customer, tokens, _give_up_at, _is_urgent):
+        return tokens
+
+    def settle(self, _reservation, spent):
+        self.spent.append(spent)
+
+
+@pytest.mark.parametrize("later", LATER.values(), ids=LATER)
+def test_stream_is_settled_by_the_configuration_that_admitted_it(later):
+    """Guards against a customer that gets more tokens than it has prepaid."""
+    router = MemoryRouter()
+    router.publish(ADMITTING)
+    grants = router.process._dispatcher._grants = Grants()
+    channel = router.connect()
+    target = router.begin_stream(channel, b"a", USAGE, KEY)
+    router.publish(ADMITTING | later | {"Version": 3})
+    target.finish()
+    assert grants.spent == [PROMPT + STRIDE]
--- a/tests/support/memory_router.py
+++ b/tests/support/memory_router.py
@@ -12,6 +12,7 @@
 from chicorystack.platform import operator_config, target_entries
 from chicorystack.platform.router import ADAPTER
 from chicorystack.routing.retry_budget import RetryBounds
+from chicorystack.store.follower import Update
 from chicorystack.store.keyed_log import KeyedRecord, ReadResult
 from chicorystack.web.exchange import Address
 from tests.support.raw_http import build_request
@@ -119,6 +120,11 @@
         self.process.start()
         self.advance(1.0)
 
+    def publish(self, config):
+        """Puts a configuration into force, as a read of the store does."""
+        record = KeyedRecord("config", json.dumps(config).encode(), 1)
+        self.process._apply_config(Update([record], False))
+
     def advance(self, seconds):
         for _ in range(round(seconds / STEP_S)):
             self.reactor.advance(STEP_S)
@@ -134,9 +140,9 @@
         channel.makeConnection(StringTransport())
         return channel
 
-    def begin_stream(self, channel, request_id):
+    def begin_stream(self, channel, request_id, *headers):
         """Sends a request whose target sends a first event."""
-        channel.dataReceived(stream_request(request_id))
+        channel.dataReceived(stream_request(request_id, *headers))
         target = self.accept_at_target()
         target.begin(request_id)
         return target
