Frame callers' responses by what was decoded

Cause: h11 lets chunks go first; the stated length was passed on with the body as decoded.

Change: a response with both is no response; its connection is closed and its target counts as failing. Callers get the length of the body, or chunks for streams; 204, 304 and responses to HEAD get neither.

--- a/chicorystack/gateway/attempt.py
+++ b/chicorystack/gateway/attempt.py
@@ -24,6 +24,9 @@
 
 # Statuses that tell the caller that the request was not and will not be run.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+# Statuses of responses that have no body.
+NO_BODY_STATUSES = frozenset({204, 304})
+HEAD = b"HEAD"
 
 
 class AttemptOutcome(enum.Enum):
@@ -317,7 +320,8 @@
         return bool(self._progress.last_event_id) and self._head.delimited
 
     def _end_buffered(self) -> AttemptResult:
-        head, body = self._head, b"".join(self._body)
+        body = b"".join(self._body)
+        head = self._with_length(self._head, body)
         self._drop_body()
         if head.not_run:
             return self._result(
@@ -336,6 +340,13 @@
         self._progress.writer.end()
         return self._result(AttemptOutcome.DELIVERED)
 
+    def _with_length(self, head: ResponseHead, body: bytes) -> ResponseHead:
+        """Returns the head with the length of the body, if it may have one."""
+        if head.status in NO_BODY_STATUSES or self._call.request.method == HEAD:
+            return head
+        length = (b"content-length", str(len(body)).encode())
+        return head._replace(headers=[*head.headers, length])
+
     def _drop_body(self) -> None:
         """Drops the collected body."""
         if self._body:
--- a/chicorystack/platform/headers.py
+++ b/chicorystack/platform/headers.py
@@ -158,9 +158,7 @@
         return ResponseHead(
             status=status,
             headers=[
-                (name, value)
-                for name, value in headers
-                if name == b"content-length" or name not in dropped
+                (name, value) for name, value in headers if name not in dropped
             ],
             request_id=_decode_text(value_by_name.get(REQUEST_ID)),
             signed=SIGNATURE in value_by_name,
--- a/chicorystack/web/exchange.py
+++ b/chicorystack/web/exchange.py
@@ -196,6 +196,10 @@
             if event in (h11.NEED_DATA, h11.PAUSED):
                 return
             if isinstance(event, h11.Response):
+                if _has_two_ends(event.headers):
+                    message = "the response has both a length and chunks"
+                    self._end_exchange(ExchangeError(message, sent=True))
+                    return
                 self._update_keep_alive(event.headers)
                 self._receiver.head_received(
                     event.status_code, list(event.headers)
@@ -239,6 +243,15 @@
             self.transport.abortConnection()
 
 
+def _has_two_ends(headers) -> bool:
+    """Returns whether both a length and chunks state where a body ends.
+
+    Different readers may take such a body to end at different places.
+    """
+    names = {name for name, _ in headers}
+    return {b"content-length", b"transfer-encoding"} <= names
+
+
 def _parse_keep_alive(value: bytes) -> float:
     """Returns how long to keep a connection with this keep-alive header.
 
--- a/tests/support/memory_router.py
+++ b/tests/support/memory_router.py
@@ -101,7 +101,10 @@
         )
 
     def finish(self):
-        self._protocol.dataReceived(b"0\r\n\r\n")
+        self.respond(b"0\r\n\r\n")
+
+    def respond(self, data):
+        self._protocol.dataReceived(data)
 
 
 class MemoryRouter:
