End a silent attempt only if the call can go on elsewhere

Cause: whether another target, a retry and time were left was asked after the stalled attempt had been reset. Change: it is asked before; else the attempt is reviewed each 0.2 s.

--- a/chicorystack/defaults.py
+++ b/chicorystack/defaults.py
@@ -454,6 +454,8 @@
 # gaps between events.
 STALL_OBJECTIVE_FACTOR = 2.5
 STALL_GAP_FACTOR = 4.0
+# How often a stalled attempt is reviewed while it could not go on elsewhere.
+STALL_REVIEW_INTERVAL_S = 0.2
 
 # Scheduling of calls at the gateway.
 # Priority, for the order among waiting calls, of those without one.
--- a/chicorystack/gateway/attempt.py
+++ b/chicorystack/gateway/attempt.py
@@ -397,13 +397,22 @@
 class StallDetector:
     """Aborts an attempt whose response makes no progress for too long.
 
-    The limit is a multiple of the route's response time objective; once events
-    have been sent, of its objective for gaps between events, if it has one.
+    It goes on as long as no other target could take over: the target may be
+    silent for a while, as when it preempts calls. The limit is a multiple of
+    the route's response time objective; once events have been sent, of its
+    objective for gaps between events, if it has one.
     """
 
-    def __init__(self, clock, attempt: Attempt, call: Call):
+    def __init__(
+        self,
+        clock,
+        attempt: Attempt,
+        call: Call,
+        could_go_on_elsewhere: Callable[[], bool],
+    ):
         self._clock = clock
         self._attempt = attempt
+        self._could_go_on_elsewhere = could_go_on_elsewhere
         self._first_limit_s = (
             call.route.objective_s * defaults.STALL_OBJECTIVE_FACTOR
         )
@@ -433,7 +442,9 @@
         )
         if self._attempt.paused:
             left_s = allowed_s
-        if left_s <= 0:
+        if left_s <= 0 and self._could_go_on_elsewhere():
             self._attempt.stop(AttemptOutcome.BROKEN, "the target stalled")
             return
+        if left_s <= 0:
+            left_s = defaults.STALL_REVIEW_INTERVAL_S
         self._timer = self._clock.callLater(left_s, self._check)
--- a/chicorystack/gateway/call_run.py
+++ b/chicorystack/gateway/call_run.py
@@ -277,7 +277,12 @@
         request = self._codec.encode_request(
             self._call, target, left_s, self._progress.last_event_id
         )
-        stall_detector = StallDetector(self._clock, attempt, self._call)
+        stall_detector = StallDetector(
+            self._clock,
+            attempt,
+            self._call,
+            lambda: self._could_go_on_elsewhere(target),
+        )
         attempt.run(connection, request)
         if self._can_fail_over():
             stall_detector.start()
@@ -293,6 +298,15 @@
             and self._runs + 1 < self._call.route.max_attempts
         )
 
+    def _could_go_on_elsewhere(self, target: TargetEntry) -> bool:
+        """Returns whether another target could take over from this one now."""
+        tried = self._tried | {target.id}
+        return (
+            self._may_be_repeated()
+            and self._retries.allows(self._call.service)
+            and self._pool.has_candidate(self._call, tried)
+        )
+
     def _count_attempt(self, result: AttemptResult) -> None:
         if result.outcome is AttemptOutcome.DIVERTED:
             return
@@ -312,21 +326,23 @@
             AttemptOutcome.STOPPED,
         ):
             return False
-        if (
-            self._writer.disconnected
-            or self._stopped
-            or not self._progress.can_continue
-            or self._runs >= self._call.route.max_attempts
-        ):
-            return False
-        if self._has_failed_too_often() or self._pool.is_quarantined(
-            self._call
-        ):
+        if self._runs >= self._call.route.max_attempts:
             return False
-        if self._call.deadline - self._clock.seconds() < self._min_time_s():
+        if self._has_failed_too_often() or not self._may_be_repeated():
             return False
         return result.outcome in NOT_RUN_OUTCOMES or self._call.route.retryable
 
+    def _may_be_repeated(self) -> bool:
+        """Whether another target could still end the call in time."""
+        left_s = self._call.deadline - self._clock.seconds()
+        return (
+            left_s >= self._min_time_s()
+            and self._progress.can_continue
+            and not self._writer.disconnected
+            and not self._stopped
+            and not self._pool.is_quarantined(self._call)
+        )
+
     def _has_failed_too_often(self) -> bool:
         """Whether too many targets rejected the call or were unreachable."""
         return (
--- a/chicorystack/routing/retry_budget.py
+++ b/chicorystack/routing/retry_budget.py
@@ -77,13 +77,17 @@
         """Counts a call for a service."""
         self._calls.add(service)
 
-    def take(self, service: str) -> bool:
-        """Takes one retry from the budget; False if none is allowed now."""
+    def allows(self, service: str) -> bool:
+        """Returns whether a retry is allowed now."""
         slack = self._bounds.slack / max(1, self._router_count())
         allowed = self._bounds.ratio * self._calls.count(service) + slack
-        if self._retries.count(service) + 1 > (
+        return self._retries.count(service) + 1 <= (
             allowed * defaults.RETRY_BUDGET_FRACTION
-        ):
+        )
+
+    def take(self, service: str) -> bool:
+        """Takes one retry from the budget; False if none is allowed now."""
+        if not self.allows(service):
             return False
         self._retries.add(service)
         return True
--- a/tests/gateway/test_attempt_progress.py
+++ b/tests/gateway/test_attempt_progress.py
@@ -51,7 +51,10 @@
         )
         self.results = []
         self.attempt.ended.addCallback(self.results.append)
-        self.detector = StallDetector(self.clock, self.attempt, self.call)
+        self.has_other_target = True
+        self.detector = StallDetector(
+            self.clock, self.attempt, self.call, lambda: self.has_other_target
+        )
         self.detector.start()
         self.attempt.head_received(200, [])
 
@@ -167,3 +170,14 @@
     stream.trickle(events(3), 0.0)
     stream.attempt.exchange_ended(None)
     assert stream.outcome is AttemptOutcome.DELIVERED
+
+
+def test_silent_target_is_given_up_only_once_another_could_go_on(stream):
+    """Guards against a stream that is cut though its target would go on."""
+    stream.has_other_target = False
+    stream.trickle(events(1), GAP_S)
+    stream.clock.pump([GAP_S] * 100)
+    assert stream.outcome is None
+    stream.has_other_target = True
+    stream.clock.pump([GAP_S] * 2)
+    assert stream.outcome is AttemptOutcome.BROKEN
