Charge a call that ends by an unexpected error

A call that ended by an exception of the router was settled with no tokens, whatever its caller had received.

Cause: `spent` was set only after the call had ended without an exception. Change: it is counted in any case.

test_call_that_ends_by_an_unexpected_error_is_settled_by_its_events failed on the code before (0 charged, 24 used), passes.

--- a/chicorystack/gateway/dispatcher.py
+++ b/chicorystack/gateway/dispatcher.py
@@ -131,21 +131,26 @@
             self._origins.replicator.record,
             self._queues,
         )
-        spent = 0
-        self._runners.add(runner)
-        if self._ended:
-            runner.stop()
         try:
-            await runner.run()
+            await self._run(runner)
+        finally:
             spent = runner.tokens_used(
                 config.max_tokens_per_event(call.service)
             )
-        finally:
-            self._runners.discard(runner)
             if reservation is not None:
                 self._grants.settle(reservation, spent)
         runner.record_outcome(spent)
 
+    async def _run(self, runner: CallRunner) -> None:
+        """Runs a call, which ends early if the router stops."""
+        self._runners.add(runner)
+        if self._ended:
+            runner.stop()
+        try:
+            await runner.run()
+        finally:
+            self._runners.discard(runner)
+
     def _check_stop(self, call: Call) -> None:
         """Checks that the call will end before the router stops.
 
--- a/tests/gateway/test_settlement.py
+++ b/tests/gateway/test_settlement.py
@@ -47,3 +47,16 @@
     router.publish(ADMITTING | later | {"Version": 3})
     target.finish()
     assert grants.spent == [PROMPT + STRIDE]
+
+
+def test_call_that_ends_by_an_unexpected_error_is_settled_by_its_events():
+    """Guards against tokens that are free because the router has a bug."""
+    router = MemoryRouter()
+    router.publish(ADMITTING)
+    grants = router.process._dispatcher._grants = Grants()
+    channel = router.connect()
+    target = router.begin_stream(channel, b"a", USAGE, KEY)
+    pool = router.process._dispatcher._pool
+    pool.record_result = lambda *_arguments: 1 / 0
+    target.finish()
+    assert grants.spent == [PROMPT + STRIDE]
