--- a/tests/support/memory_router.py
+++ b/tests/support/memory_router.py
@@ -123,6 +123,26 @@
         self.process.start()
         self.advance(1.0)
 
+    def register_targets(self, count):
+        """Registers targets beside each other, in place of the one."""
+        records = [
+            KeyedRecord(
+                f"i-{number}",
+                json.dumps(
+                    TARGET | {"Address": f"127.0.0.{number}:{TARGET_PORT}"}
+                ).encode(),
+                number,
+            )
+            for number in range(1, count + 1)
+        ]
+        self.process._apply_targets(Update(records, True))
+
+    def take_connections(self):
+        """Returns the factories of connections that are being opened."""
+        opened = self.opened_to_target()
+        self.reactor.tcpClients.clear()
+        return [client[2] for client in opened]
+
     def publish(self, config):
         """Puts a configuration into force, as a read of the store does."""
         record = KeyedRecord("config", json.dumps(config).encode(), 1)
@@ -172,10 +192,10 @@
         defer.ensureDeferred(self.process.drain())
 
 
-def stream_request(request_id, *headers, deadline_ms=15_000):
+def stream_request(request_id, *headers, path=b"/guide/1", deadline_ms=15_000):
     headers = [
         *headers,
         (b"x-chicorystack-request-attempt-id", request_id),
         (b"x-chicorystack-deadline-ms", b"%d" % deadline_ms),
     ]
-    return build_request(b"POST", b"/guide/1", headers)
+    return build_request(b"POST", path, headers)
