Let other calls avoid a silent target whose call goes on

Since silent attempts go on while nobody could take over, their targets no longer counted as failing until the deadline: with the retry budget used up, further calls would have gone to a dark target. Found by reading the change.

Change: an attempt that has stalled and goes on counts once as a failure of its target, as one that is ended does.

--- a/chicorystack/gateway/attempt.py
+++ b/chicorystack/gateway/attempt.py
@@ -409,10 +409,23 @@
         attempt: Attempt,
         call: Call,
         could_go_on_elsewhere: Callable[[], bool],
+        on_silence: Callable[[], None],
     ):
+        """Prepares to watch an attempt.
+
+        Args:
+            clock: The reactor.
+            attempt: The attempt.
+            call: Its call.
+            could_go_on_elsewhere: Returns whether another target could take
+                over now.
+            on_silence: Called once if the attempt has stalled, but goes on.
+        """
         self._clock = clock
         self._attempt = attempt
         self._could_go_on_elsewhere = could_go_on_elsewhere
+        self._on_silence = on_silence
+        self._silence_reported = False
         self._first_limit_s = (
             call.route.objective_s * defaults.STALL_OBJECTIVE_FACTOR
         )
@@ -446,5 +459,11 @@
             self._attempt.stop(AttemptOutcome.BROKEN, "the target stalled")
             return
         if left_s <= 0:
+            self._report_silence()
             left_s = defaults.STALL_REVIEW_INTERVAL_S
         self._timer = self._clock.callLater(left_s, self._check)
+
+    def _report_silence(self) -> None:
+        if not self._silence_reported:
+            self._silence_reported = True
+            self._on_silence()
--- a/chicorystack/gateway/call_run.py
+++ b/chicorystack/gateway/call_run.py
@@ -282,6 +282,7 @@
             attempt,
             self._call,
             lambda: self._could_go_on_elsewhere(target),
+            lambda: self._pool.record_silence(target),
         )
         attempt.run(connection, request)
         if self._can_fail_over():
--- a/chicorystack/gateway/target_pool.py
+++ b/chicorystack/gateway/target_pool.py
@@ -225,6 +225,11 @@
             self._health.record_failure(target.id)
         self._record_crash_evidence(call, target, result)
 
+    def record_silence(self, target: TargetEntry) -> None:
+        """Records that a target is silent, so that other calls avoid it."""
+        self._health.record_failure(target.id)
+        self._predictions.model.record_failure(target)
+
     def _record_crash_evidence(
         self, call: Call, target: TargetEntry, result: AttemptResult
     ) -> None:
--- a/tests/gateway/test_attempt_progress.py
+++ b/tests/gateway/test_attempt_progress.py
@@ -52,8 +52,13 @@
         self.results = []
         self.attempt.ended.addCallback(self.results.append)
         self.has_other_target = True
+        self.silences = []
         self.detector = StallDetector(
-            self.clock, self.attempt, self.call, lambda: self.has_other_target
+            self.clock,
+            self.attempt,
+            self.call,
+            lambda: self.has_other_target,
+            lambda: self.silences.append(self.clock.seconds()),
         )
         self.detector.start()
         self.attempt.head_received(200, [])
@@ -178,6 +183,8 @@
     stream.trickle(events(1), GAP_S)
     stream.clock.pump([GAP_S] * 100)
     assert stream.outcome is None
+    # Other calls avoid it meanwhile.
+    assert len(stream.silences) == 1
     stream.has_other_target = True
     stream.clock.pump([GAP_S] * 2)
     assert stream.outcome is AttemptOutcome.BROKEN
