--- a/review/6/case.py
+++ b/review/6/case.py
@@ -26,6 +26,8 @@
 RESTART_S = 0.3
 SETTLE_S = 3.0
 AFTER_S = 45.0
+# Once the budget is exceeded, requests come for so long still.
+OVER_S = 6.0
 
 
 class Clients:
@@ -146,6 +148,7 @@
     until = time.monotonic() + AFTER_S
     while time.monotonic() < until and clients.used() <= PREPAID:
         await asyncio.sleep(0.5)
+    await asyncio.sleep(max(0.0, min(OVER_S, until - time.monotonic())))
     clients.stopped = True
     await asyncio.gather(*sending)
     used = clients.used()
